--- a/src/bin/zinchook-drill.rs
+++ b/src/bin/postproxy-drill.rs
@@ -5,14 +5,14 @@
 use std::error::Error;
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
-use zinchook::wire::{Record, Reply, read_batch};
-use zinchook::{Dispatcher, Settings};
+use postproxy::wire::{Record, Reply, read_batch};
+use postproxy::{Dispatcher, Settings};
 
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("zinchook-drill: {error}");
+            eprintln!("postproxy-drill: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! time and carries out the [`Action`]s that it writes. It owns no clock, socket or thread.
 //!
 //! ```
-//! use zinchook::{Action, Dispatcher, Entry, Event, Health, ListKind, NewRequest, Settings, WorkerId};
+//! use postproxy::{Action, Dispatcher, Entry, Event, Health, ListKind, NewRequest, Settings, WorkerId};
 //!
 //! let settings = Settings::from_json(r#"{"services": [{"effect": "pure", "deadline": 5.0}]}"#)?;
 //! let mut dispatcher = Dispatcher::new(settings, 42)?;
@@ -16,7 +16,7 @@
 //! let request = NewRequest { request: 7, class: 0, budget: 5.0, ..NewRequest::default() };
 //! dispatcher.handle(100.0, &Event::Request(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: 7, .. })));
-//! # Ok::<(), zinchook::SettingsError>(())
+//! # Ok::<(), postproxy::SettingsError>(())
 //! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Helpers of the tests: settings, entries and a dispatcher whose actions are collected.
 #![allow(dead_code)]
 
-use zinchook::{
+use postproxy::{
     Action, Dispatcher, Entry, Event, Health, ListKind, NewRequest, Note, Outcome, RequestId, Settings,
     WorkerId,
 };
--- a/tests/drill.rs
+++ b/tests/drill.rs
@@ -6,7 +6,7 @@
 const SETTINGS: &str = r#"{"services": [{"effect": "pure", "deadline": 5.0}], "discovery": "on_request"}"#;
 
 fn drill(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_zinchook-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_postproxy-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use std::collections::BTreeMap;
-use zinchook::{Action, Entry, Event, Health, ListKind, NewRequest, Note, Outcome, RequestId};
+use postproxy::{Action, Entry, Event, Health, ListKind, NewRequest, Note, Outcome, RequestId};
 
 /// Sends `count` safe requests, one by one, each ended at once without a report; counts the choices.
 fn choices(bed: &mut Bed, count: u64) -> BTreeMap<u16, u64> {
@@ -341,7 +341,7 @@
     let mut bed = Bed::new(settings(|s| s["discovery"] = "on_request".into()), 0);
     let mut bed2 = Bed::new(settings(|_| ()), 0);
     for (bed, asks) in [(&mut bed, true), (&mut bed2, false)] {
-        let fresh = zinchook::Dispatcher::new(
+        let fresh = postproxy::Dispatcher::new(
             settings(|s| s["discovery"] = if asks { "on_request" } else { "pushed" }.into()),
             3,
         );
@@ -574,7 +574,7 @@
 
 #[test]
 fn unsound_settings_of_the_further_rules_are_typed_errors() {
-    use zinchook::{RetryBudget, Settings, SettingsError};
+    use postproxy::{RetryBudget, Settings, SettingsError};
     for (text, word) in [
         (r#"{"rules": {"spare-attempts": 3}}"#, "look-back"),
         (r#"{"rules": {"repeat-ratio": 0.1, "look-back": 0}}"#, "look-back"),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -8,7 +8,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
-use zinchook::{Action, Dispatcher, Entry, Event, Health, ListKind, NewRequest, Note, Outcome, WorkerId};
+use postproxy::{Action, Dispatcher, Entry, Event, Health, ListKind, NewRequest, Note, Outcome, WorkerId};
 
 const GRACE: f64 = 0.5;
 const SLACK: f64 = 0.016;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! Frames: the worked examples of the wire's description, round trips and hostile input.
 
-use zinchook::wire::{Batch, Record, Reply, WireError, read_batch};
-use zinchook::{Action, Event, Health, ListKind, Note, Outcome, Settings, WorkerId};
+use postproxy::wire::{Batch, Record, Reply, WireError, read_batch};
+use postproxy::{Action, Event, Health, ListKind, Note, Outcome, Settings, WorkerId};
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
@@ -170,7 +170,7 @@
 fn settings_have_defaults_and_typed_errors() {
     let set = Settings::from_json(r#"{"new-key": {"x": [1]}, "services": [{}]}"#).expect("defaults");
     assert_eq!((set.balancers, set.max_attempts, set.may_probe, set.may_cancel), (1, 3, false, false));
-    assert_eq!(set.classes[0].effect, zinchook::Effect::Unsafe);
+    assert_eq!(set.classes[0].effect, postproxy::Effect::Unsafe);
     for (bad, key) in [
         (r#"{"services": [{"deadline": -1}]}"#, "deadline"),
         (r#"{"rules": {"cold-from": 7}}"#, "cold-from"),
