--- a/src/bin/postproxy-drill.rs
+++ b/src/bin/postproxy-drill.rs
@@ -1,12 +1,12 @@
 //! Adapter between the bench's wire and the decision module: a map of dispatchers, batch in, reply out.
 #![forbid(unsafe_code)]
 
+use postproxy::wire::{Record, Reply, read_batch};
+use postproxy::{Dispatcher, Settings};
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
-use postproxy::wire::{Record, Reply, read_batch};
-use postproxy::{Dispatcher, Settings};
 
 fn main() -> ExitCode {
     match run() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -42,6 +42,8 @@
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
+    /// Its name, as requests give it.
+    pub name: String,
     /// What may be done with a request that may have run.
     pub effect: Effect,
     /// For keyed requests, who drops the repeats.
@@ -172,6 +174,18 @@
     pub retry_budget: Option<RetryBudget>,
     /// Workers may answer 'full' for work that they had begun, so that it proves nothing.
     pub full_proves_nothing: bool,
+    /// Names of the zones, in the order of their numbers.
+    pub zone_names: Vec<String>,
+    /// Names of the machine kinds, in the order of their numbers.
+    pub kind_names: Vec<String>,
+    /// Names of the tenants, in the order of their numbers.
+    pub tenant_names: Vec<String>,
+    /// Names of a load report's figures, in their order.
+    pub field_names: Vec<String>,
+    /// A worker closes a connection that was idle for so long; 0 where that is not told.
+    pub conn_idle: f64,
+    /// Most requests held at a time; 0 where that is not told.
+    pub max_open: usize,
 }
 
 impl Settings {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 #![warn(missing_docs)]
 
 pub mod interface;
+pub mod net;
 pub mod policy;
 pub mod random;
 pub mod settings;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,27 @@
+//! One real node, configured by `RELAY_CONFIG`; SIGTERM and SIGINT end it in good order.
+#![forbid(unsafe_code)]
+
+use postproxy::net::{Config, Node};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use std::os::unix::net::UnixStream;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("postproxy: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), Box<dyn std::error::Error>> {
+    let (stop, signal) = UnixStream::pair()?;
+    signal_hook::low_level::pipe::register(SIGINT, signal.try_clone()?)?;
+    signal_hook::low_level::pipe::register(SIGTERM, signal)?;
+    let config = Config::from_env()?;
+    eprintln!("postproxy {}: listening on {}", config.name, config.listen);
+    Node::new(config, stop)?.run()?;
+    Ok(())
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,90 @@
+//! What a node is told at its start: the environment's `RELAY_*` and a JSON file.
+
+use super::farm::List;
+use crate::interface::Settings;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// A node's configuration.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// Seed of its random numbers.
+    pub seed: u64,
+    /// How many descriptors it may hold.
+    pub sockets: usize,
+    /// The farm's list as it was last held.
+    pub known: Option<List>,
+    /// The settings.
+    pub settings: Settings,
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    listen: String,
+    #[serde(default)]
+    discovery: String,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    known: Option<List>,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { sockets: 1024 }
+    }
+}
+
+impl Config {
+    /// Reads the file that `RELAY_CONFIG` names; the other variables go before what it says.
+    ///
+    /// # Errors
+    ///
+    /// Says in plain words what is missing or wrong.
+    pub fn from_env() -> Result<Self, String> {
+        let variable = |name: &str| std::env::var(name).ok().filter(|value| !value.is_empty());
+        let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG names no configuration file")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("reading {path}: {e}"))?;
+        Self::from_json(&text, variable).map_err(|e| format!("{path}: {e}"))
+    }
+
+    /// Reads a configuration; a variable that is set goes before what the text says.
+    ///
+    /// # Errors
+    ///
+    /// Says in plain words what is missing or wrong.
+    pub fn from_json(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let raw: Raw = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let address = |name: &str, text: String| {
+            let text = variable(name).unwrap_or(text);
+            text.parse().map_err(|_| format!("{name}: '{text}' is no address of the form 10.0.0.4:8080"))
+        };
+        let seed = u64::from_str_radix(&raw.seed, 16)
+            .map_err(|_| format!("seed: '{}' is no hexadecimal number", raw.seed))?;
+        Ok(Self {
+            listen: address("RELAY_LISTEN", raw.listen)?,
+            discovery: address("RELAY_DISCOVERY", raw.discovery)?,
+            name: variable("RELAY_NAME").unwrap_or(raw.name),
+            seed,
+            sockets: raw.limits.sockets,
+            known: raw.known,
+            settings: Settings::from_json(&raw.settings.to_string()).map_err(|e| e.to_string())?,
+        })
+    }
+}
--- /dev/null
+++ b/src/net/event_loop.rs
@@ -0,0 +1,301 @@
+//! The one loop: it waits for sockets, timers and the signal to stop, and hands each on to its owner.
+
+use super::config::Config;
+use super::farm::Farm;
+use super::proxy_pass::ProxyPasses;
+use super::transaction::{self, Command, Hub, Input};
+use super::user_agent::UserAgents;
+use super::wheel::Wheel;
+use crate::interface::ListKind;
+use polling::{Event, Poller, Source};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::VecDeque;
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::time::{Duration, Instant, SystemTime};
+
+/// A tick of the timers, in seconds.
+const TICK: f64 = 0.002;
+/// How long after the signal to stop new connections may come.
+const ACCEPT_WINDOW: f64 = 0.6;
+/// How often it is looked whether all has been answered after that.
+const LOOK: f64 = 0.02;
+/// Descriptors kept for what is no connection.
+const SPARE: usize = 24;
+
+/// Whose a socket is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// The listener's or a user agent's.
+    Agent,
+    /// A proxy pass's.
+    Pass,
+    /// The farm's.
+    Farm,
+    /// The signal to stop.
+    Stop,
+}
+
+const OWNERS: [Owner; 4] = [Owner::Farm, Owner::Pass, Owner::Agent, Owner::Stop];
+
+fn owner(key: usize) -> Owner {
+    OWNERS[key % OWNERS.len()]
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// The hub's.
+    Hub(transaction::Due),
+    /// A user agent's connection, in its round.
+    Agent(usize, u64),
+    /// A worker's connection, in its round.
+    Pass(usize, u64),
+    /// A worker's connection that is being made.
+    Dial(usize),
+    /// A call to discovery.
+    Farm(u64),
+    /// The connection for a call to discovery.
+    FarmDial(u64),
+    /// The end of the accept window, or a look after it.
+    WindUp,
+}
+
+/// One monotonic clock that shows Unix time as it was at the start.
+pub struct Clock {
+    start: Instant,
+    unix: f64,
+}
+
+impl Clock {
+    /// Anchors it now.
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Self { start: Instant::now(), unix: unix.as_secs_f64() }
+    }
+
+    /// Seconds since 1970.
+    pub fn now(&self) -> f64 {
+        self.unix + self.start.elapsed().as_secs_f64()
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// What the owners of connections share: the poller, the timers, the time, and the queue to the hub.
+pub struct Reactor {
+    poller: Poller,
+    wheel: Wheel<Due>,
+    next_key: usize,
+    /// The time of this turn of the loop.
+    pub now: f64,
+    /// News for the hub, in their order.
+    pub queue: VecDeque<Input>,
+}
+
+impl Reactor {
+    /// A reactor without sockets and timers.
+    ///
+    /// # Errors
+    ///
+    /// If the system gives no poller.
+    pub fn new(now: f64) -> io::Result<Self> {
+        let (poller, wheel, queue) = (Poller::new()?, Wheel::new(TICK, now), VecDeque::new());
+        Ok(Self { poller, wheel, next_key: 1, now, queue })
+    }
+
+    /// Takes a socket in, without interest yet; keys are never used again.
+    ///
+    /// # Errors
+    ///
+    /// If the poller refuses it.
+    pub fn register(&mut self, source: impl Source, whose: Owner) -> io::Result<usize> {
+        let rank = OWNERS.iter().position(|o| *o == whose).unwrap_or_default();
+        let key = self.next_key * OWNERS.len() + rank;
+        self.poller.add(source, Event::none(key))?;
+        self.next_key += 1;
+        Ok(key)
+    }
+
+    /// Says what a socket waits for; it holds for one event.
+    pub fn rearm(&self, source: impl Source, key: usize, (readable, writable): (bool, bool)) {
+        // A socket that the poller holds can be changed; if not, its owner's timer ends it.
+        let _ = self.poller.modify(source, Event { key, readable, writable });
+    }
+
+    /// Lets a socket go, before it is closed.
+    pub fn forget(&self, source: impl Source) {
+        let _ = self.poller.delete(source);
+    }
+
+    /// Sets a timer.
+    pub fn timer(&mut self, at: f64, due: Due) {
+        self.wheel.insert(at, due);
+    }
+}
+
+/// Starts to connect, without waiting.
+///
+/// # Errors
+///
+/// If the connection can't even be started.
+pub fn dial(to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_nodelay(true)?;
+    match socket.connect(&to.into()) {
+        Ok(()) => {}
+        Err(error) if error.raw_os_error() == Some(115) || error.kind() == io::ErrorKind::WouldBlock => {}
+        Err(error) => return Err(error),
+    }
+    Ok(socket.into())
+}
+
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(1024)?;
+    Ok(socket.into())
+}
+
+/// A real node.
+pub struct Node {
+    clock: Clock,
+    reactor: Reactor,
+    hub: Hub,
+    agents: UserAgents,
+    passes: ProxyPasses,
+    farm: Farm,
+    stop: UnixStream,
+    stop_key: usize,
+    stopping: bool,
+    /// Nothing is owed any more.
+    done: bool,
+}
+
+impl Node {
+    /// Listens, and takes in the list that the configuration holds. A byte on `stop` ends the node in
+    /// good order.
+    ///
+    /// # Errors
+    ///
+    /// If the configuration can't be worked with or the address not be listened on.
+    pub fn new(config: Config, stop: UnixStream) -> Result<Self, Box<dyn std::error::Error>> {
+        let clock = Clock::new();
+        let mut reactor = Reactor::new(clock.now())?;
+        let settings = config.settings;
+        let listener = listen(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
+        let sockets = config.sockets.saturating_sub(SPARE).max(16);
+        let mut agent_most = sockets * 5 / 8;
+        if settings.max_open > 0 {
+            agent_most = agent_most.min(settings.max_open);
+        }
+        let agents = UserAgents::new(&mut reactor, listener, settings.clone(), agent_most)?;
+        let passes = ProxyPasses::new(sockets * 3 / 8, settings.dial_timeout, settings.conn_idle);
+        let revision = config.known.as_ref().map(|list| list.revision);
+        let farm = Farm::new(config.discovery, settings.clone(), revision);
+        let hub = Hub::new(settings.clone(), config.seed)?;
+        let known = config.known.map(|list| list.members(&settings)).unwrap_or_default();
+        reactor.queue.push_back(Input::Farm(ListKind::Cached, known));
+        stop.set_nonblocking(true)?;
+        let stop_key = reactor.register(&stop, Owner::Stop)?;
+        reactor.rearm(&stop, stop_key, (true, false));
+        let (stopping, done) = (false, false);
+        Ok(Self { clock, reactor, hub, agents, passes, farm, stop, stop_key, stopping, done })
+    }
+
+    /// Serves until it is told to stop and nothing is held any more.
+    ///
+    /// # Errors
+    ///
+    /// If the system's poller fails.
+    pub fn run(&mut self) -> io::Result<()> {
+        let mut events = Vec::new();
+        while !self.done {
+            self.work();
+            let until =
+                self.reactor.wheel.next().map(|at| Duration::from_secs_f64((at - self.clock.now()).max(0.0)));
+            events.clear();
+            if let Err(error) = self.reactor.poller.wait(&mut events, until) {
+                if error.kind() != io::ErrorKind::Interrupted {
+                    return Err(error);
+                }
+            }
+            self.reactor.now = self.clock.now();
+            // What the list says comes before all that might be sent by an older one.
+            events.sort_by_key(|event| event.key % OWNERS.len());
+            for event in &events {
+                self.dispatch(*event);
+            }
+            for due in self.reactor.wheel.advance(self.reactor.now) {
+                self.due(due);
+            }
+        }
+        Ok(())
+    }
+
+    fn dispatch(&mut self, Event { key, readable, writable }: Event) {
+        let reactor = &mut self.reactor;
+        match owner(key) {
+            Owner::Agent => self.agents.ready(reactor, key, readable, writable),
+            Owner::Pass => self.passes.ready(reactor, key, readable, writable),
+            Owner::Farm => self.farm.ready(reactor, key, readable, writable),
+            Owner::Stop => self.signalled(),
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        let reactor = &mut self.reactor;
+        match due {
+            Due::Hub(due) => reactor.queue.push_back(Input::Due(due)),
+            Due::Agent(key, round) => self.agents.due(reactor, key, round),
+            Due::Pass(key, round) => self.passes.pass_due(reactor, key, round),
+            Due::Dial(key) => self.passes.dial_due(reactor, key),
+            Due::Farm(call) => self.farm.due(reactor, call),
+            Due::FarmDial(call) => self.farm.dial_due(reactor, call),
+            Due::WindUp => {
+                self.done = self.agents.wind_up(reactor) && self.hub.held() == 0;
+                reactor.timer(reactor.now + LOOK, Due::WindUp);
+            }
+        }
+    }
+
+    fn signalled(&mut self) {
+        let mut bytes = [0; 16];
+        let _ = self.stop.read(&mut bytes);
+        if !std::mem::replace(&mut self.stopping, true) {
+            self.agents.stop();
+            self.reactor.timer(self.reactor.now + ACCEPT_WINDOW, Due::WindUp);
+        }
+        self.reactor.rearm(&self.stop, self.stop_key, (true, false));
+    }
+
+    /// Tells the hub all that has happened and does what it wants done.
+    fn work(&mut self) {
+        let mut commands = Vec::new();
+        while let Some(input) = self.reactor.queue.pop_front() {
+            self.hub.handle(self.reactor.now, input, &mut commands);
+            for command in commands.drain(..) {
+                let reactor = &mut self.reactor;
+                match command {
+                    Command::Start(pass, worker, payload, wait) => {
+                        self.passes.start(reactor, pass, worker, &payload, wait);
+                    }
+                    Command::Abandon(pass, worker, payload, accepted) => {
+                        self.passes.abandon(reactor, pass, worker, &payload.id, accepted);
+                    }
+                    Command::Answer(agent, answer) => self.agents.answer(reactor, agent, &answer),
+                    Command::Watch => self.farm.watch(reactor),
+                    Command::Timer(at, due) => reactor.timer(at, Due::Hub(due)),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/farm.rs
@@ -0,0 +1,229 @@
+//! The farm: discovery's list of workers and the watch on it.
+
+use super::connection::{Callbacks, Connection, State};
+use super::event_loop::{Due, Owner, Reactor};
+use super::http::{self, Read};
+use super::transaction::{Input, Member};
+use crate::interface::{Entry, Health, ListKind, Settings};
+use serde::Deserialize;
+use std::net::{SocketAddr, TcpStream};
+
+/// Longest list that is read.
+const MOST_LIST: usize = 8 << 20;
+/// How long a call waits for changes, in seconds.
+const WAIT: f64 = 20.0;
+/// How long after that its answer may take: discovery ends a call, or fails it, in 2 s.
+const PATIENCE: f64 = 2.5;
+
+#[derive(Deserialize)]
+struct RawMember {
+    id: String,
+    host_port: String,
+    #[serde(default)]
+    locality: String,
+    #[serde(default)]
+    flavor: String,
+    #[serde(default)]
+    cell: u16,
+    phase: String,
+    #[serde(default)]
+    size: f64,
+    #[serde(default)]
+    up_since_ms: f64,
+}
+
+/// A list in discovery's form.
+#[derive(Deserialize)]
+pub struct List {
+    /// Its version.
+    pub revision: u64,
+    /// Whether it is the whole list.
+    pub complete: bool,
+    members: Vec<RawMember>,
+}
+
+impl List {
+    /// Reads a list from JSON.
+    ///
+    /// # Errors
+    ///
+    /// If it is none.
+    pub fn from_json(text: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(text)
+    }
+
+    /// Its members; one without a usable address is left out. Times are Unix time, as the node's clock is.
+    pub fn members(self, settings: &Settings) -> Vec<Member> {
+        let at = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let member = |m: RawMember| {
+            let address: SocketAddr = m.host_port.parse().ok()?;
+            let entry = Entry {
+                zone: at(&settings.zone_names, &m.locality).map_or(u8::MAX, |z| z as u8),
+                kind: at(&settings.kind_names, &m.flavor).map_or(u16::MAX, |k| k as u16),
+                cell: m.cell,
+                health: match m.phase.as_str() {
+                    "in_service" => Health::Ready,
+                    "terminated" => Health::Gone,
+                    _ => Health::Draining, // an unknown phase gets nothing new
+                },
+                size: m.size,
+                started: m.up_since_ms / 1000.0,
+                ..Entry::default()
+            };
+            Some(Member { id: m.id, address, entry })
+        };
+        self.members.into_iter().filter_map(member).collect()
+    }
+}
+
+struct Session {
+    connection: Connection<TcpStream>,
+    key: usize,
+}
+
+/// The watch on discovery's list.
+pub struct Farm {
+    discovery: SocketAddr,
+    settings: Settings,
+    /// The version that this node holds; `None` where only the whole list will do.
+    revision: Option<u64>,
+    session: Option<Session>,
+    /// A call is out. It counts the calls, so that a timer of an earlier one is known.
+    calling: bool,
+    call: u64,
+    dial_timeout: f64,
+}
+
+/// Collects what one connection tells.
+#[derive(Default)]
+struct Caller {
+    answer: Option<Result<(List, bool), ()>>,
+}
+
+impl Callbacks<TcpStream> for Caller {
+    fn received(&mut self, connection: &mut Connection<TcpStream>) {
+        match http::read_response(&connection.input, connection.heard_all(), MOST_LIST) {
+            Ok(Read::Whole(response, size)) => {
+                connection.consume(size);
+                let list = (response.status == 200).then(|| List::from_json(&response.body).ok()).flatten();
+                let keeps = response.keeps && !connection.heard_all();
+                self.answer = Some(list.map(|list| (list, keeps)).ok_or(()));
+            }
+            Ok(_) if !connection.heard_all() => {}
+            Ok(_) | Err(_) => self.answer = Some(Err(())),
+        }
+    }
+
+    fn ended(&mut self, _: &mut Connection<TcpStream>) {
+        self.answer.get_or_insert(Err(()));
+    }
+}
+
+impl Farm {
+    /// No watch yet; `known` is the version of the list that the node starts with.
+    pub fn new(discovery: SocketAddr, settings: Settings, known: Option<u64>) -> Self {
+        let dial_timeout = settings.dial_timeout.max(0.25);
+        Self { discovery, settings, revision: known, session: None, calling: false, call: 0, dial_timeout }
+    }
+
+    /// Starts a watch; one that is out already answers for it.
+    pub fn watch(&mut self, reactor: &mut Reactor) {
+        if !self.calling {
+            self.ask(reactor, 0.0);
+        }
+    }
+
+    fn ask(&mut self, reactor: &mut Reactor, wait: f64) {
+        let target = match self.revision {
+            Some(revision) => {
+                format!("/api/targets?since={revision}&timeout_ms={}", (wait * 1000.0).max(1.0) as u64)
+            }
+            None => "/api/targets".to_owned(),
+        };
+        let host = self.discovery.to_string();
+        let mut bytes = Vec::new();
+        http::write_request(&mut bytes, "GET", &target, &[("Host", &host)], b"");
+        self.calling = true;
+        self.call += 1;
+        if self.session.is_none() {
+            let dialed = super::event_loop::dial(self.discovery).and_then(|stream| {
+                let key = reactor.register(&stream, Owner::Farm)?;
+                Ok(Session { connection: Connection::new(stream, true, MOST_LIST), key })
+            });
+            match dialed {
+                Ok(session) => self.session = Some(session),
+                Err(_) => return self.failed(reactor),
+            }
+            reactor.timer(reactor.now + self.dial_timeout, Due::FarmDial(self.call));
+        }
+        let wait = if self.revision.is_some() { wait } else { 0.0 };
+        reactor.timer(reactor.now + wait + PATIENCE, Due::Farm(self.call));
+        let Some(session) = &mut self.session else { return };
+        let mut caller = Caller::default();
+        session.connection.send(&bytes, &mut caller);
+        self.after(reactor, caller);
+    }
+
+    /// The connection can be read or written.
+    pub fn ready(&mut self, reactor: &mut Reactor, key: usize, readable: bool, writable: bool) {
+        let Some(session) = self.session.as_mut().filter(|s| s.key == key) else { return };
+        let mut caller = Caller::default();
+        session.connection.ready(readable, writable, &mut caller);
+        self.after(reactor, caller);
+    }
+
+    /// The connection has had its time to be made.
+    pub fn dial_due(&mut self, reactor: &mut Reactor, call: u64) {
+        let dialing = self.session.as_ref().is_some_and(|s| s.connection.state() == State::Dialing);
+        if self.calling && call == self.call && dialing {
+            self.failed(reactor);
+        }
+    }
+
+    /// A call has had its time.
+    pub fn due(&mut self, reactor: &mut Reactor, call: u64) {
+        if self.calling && call == self.call {
+            self.failed(reactor);
+        }
+    }
+
+    fn after(&mut self, reactor: &mut Reactor, caller: Caller) {
+        match caller.answer {
+            Some(Ok((list, keeps))) if self.calling => {
+                if !keeps {
+                    self.hang_up(reactor);
+                }
+                self.told(reactor, list);
+            }
+            Some(_) => self.failed(reactor),
+            None => {}
+        }
+        if let Some(session) = &self.session {
+            reactor.rearm(session.connection.stream(), session.key, session.connection.interest());
+        }
+    }
+
+    fn told(&mut self, reactor: &mut Reactor, list: List) {
+        // Changes to another list than the one held can't be applied: the whole one is asked for at once.
+        let stale = !list.complete && self.revision.is_none_or(|held| list.revision < held);
+        self.revision = (!stale).then_some(list.revision);
+        if !stale {
+            let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
+            reactor.queue.push_back(Input::Farm(kind, list.members(&self.settings)));
+        }
+        self.ask(reactor, WAIT);
+    }
+
+    fn failed(&mut self, reactor: &mut Reactor) {
+        self.hang_up(reactor);
+        if std::mem::take(&mut self.calling) {
+            reactor.queue.push_back(Input::Farm(ListKind::Failed, Vec::new()));
+        }
+    }
+
+    fn hang_up(&mut self, reactor: &mut Reactor) {
+        if let Some(session) = self.session.take() {
+            reactor.forget(session.connection.stream());
+        }
+    }
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,283 @@
+//! HTTP/1.1 as bytes: requests and responses are read from and written to buffers, without any socket.
+
+use std::fmt::Write as _;
+
+/// Longest head of a message.
+pub const MOST_HEAD: usize = 16 * 1024;
+/// Longest body of a message between user agents, this node and workers.
+pub const MOST_BODY: usize = 64 * 1024;
+const MOST_HEADERS: usize = 64;
+/// Framing that a chunked body may have beside its data.
+const MOST_FRAMING: usize = 64 * 1024;
+
+/// Why bytes are no message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    /// Not HTTP/1, or lengths that conflict.
+    Malformed,
+    /// The head is too large.
+    Head,
+    /// The body is too large.
+    Body,
+}
+
+impl Flaw {
+    /// The status that tells a user agent of it.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::Head => 431,
+            Self::Body => 413,
+        }
+    }
+}
+
+/// The header fields of a message.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Headers(Vec<(String, String)>);
+
+impl Headers {
+    /// The first field of a name, in any case.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+    }
+
+    fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        self.0.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+    }
+
+    /// Whether one of a field's comma-separated words is this one.
+    pub fn says(&self, name: &str, word: &str) -> bool {
+        self.all(name).flat_map(|value| value.split(',')).any(|w| w.trim().eq_ignore_ascii_case(word))
+    }
+}
+
+/// A request that has arrived whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// Its method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Its header fields.
+    pub headers: Headers,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// The connection stays open behind it.
+    pub keeps: bool,
+}
+
+/// A response that has arrived whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Response {
+    /// Its status.
+    pub status: u16,
+    /// Its header fields.
+    pub headers: Headers,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// The connection stays open behind it.
+    pub keeps: bool,
+}
+
+/// How far a message has arrived.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Read<T> {
+    /// Its head has not arrived.
+    Nothing,
+    /// Its head has arrived, its body has not; whether the peer waits for word before it sends that.
+    Head {
+        /// It said `Expect: 100-continue`.
+        expects: bool,
+    },
+    /// It has arrived, and took so many bytes.
+    Whole(T, usize),
+}
+
+enum Framing {
+    Length(usize),
+    Chunked,
+    ToEnd,
+}
+
+fn headers(raw: &[httparse::Header<'_>]) -> Headers {
+    let text = |value: &[u8]| String::from_utf8_lossy(value).trim().to_owned();
+    Headers(raw.iter().map(|h| (h.name.to_owned(), text(h.value))).collect())
+}
+
+fn parsed<T>(result: Result<httparse::Status<T>, httparse::Error>, input: &[u8]) -> Result<Option<T>, Flaw> {
+    match result {
+        Ok(httparse::Status::Complete(size)) => Ok(Some(size)),
+        Ok(httparse::Status::Partial) if input.len() > MOST_HEAD => Err(Flaw::Head),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(Flaw::Head),
+        Err(_) => Err(Flaw::Malformed),
+    }
+}
+
+fn framing(headers: &Headers, otherwise: Framing) -> Result<Framing, Flaw> {
+    let mut lengths = headers.all("content-length").flat_map(|value| value.split(',')).map(str::trim);
+    let coded: Vec<&str> = headers.all("transfer-encoding").collect();
+    match (lengths.next(), &coded[..]) {
+        (None, []) => Ok(otherwise),
+        (None, [coding]) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+        (Some(length), []) if lengths.all(|l| l == length) => {
+            let digits = !length.is_empty() && length.bytes().all(|b| b.is_ascii_digit());
+            if digits {
+                length.parse().map(Framing::Length).map_err(|_| Flaw::Body)
+            } else {
+                Err(Flaw::Malformed)
+            }
+        }
+        _ => Err(Flaw::Malformed),
+    }
+}
+
+/// The body at the start of `rest` and the bytes it takes; `None` while it is not whole.
+fn body(rest: &[u8], framing: Framing, most: usize, ended: bool) -> Result<Option<(Vec<u8>, usize)>, Flaw> {
+    match framing {
+        Framing::Length(size) if size > most => Err(Flaw::Body),
+        Framing::Length(size) => Ok(rest.get(..size).map(|bytes| (bytes.to_vec(), size))),
+        Framing::ToEnd if rest.len() > most => Err(Flaw::Body),
+        Framing::ToEnd => Ok(ended.then(|| (rest.to_vec(), rest.len()))),
+        Framing::Chunked => chunked(rest, most),
+    }
+}
+
+fn chunked(rest: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, Flaw> {
+    let (mut data, mut at) = (Vec::new(), 0);
+    loop {
+        if at > data.len() + MOST_FRAMING {
+            return Err(Flaw::Body);
+        }
+        match httparse::parse_chunk_size(&rest[at..]).map_err(|_| Flaw::Malformed)? {
+            httparse::Status::Partial if rest.len() - at > 1024 => return Err(Flaw::Malformed),
+            httparse::Status::Partial => return Ok(None),
+            httparse::Status::Complete((line, 0)) => {
+                at += line;
+                let mut fields = [httparse::EMPTY_HEADER; MOST_HEADERS];
+                return match httparse::parse_headers(&rest[at..], &mut fields).map_err(|_| Flaw::Malformed)? {
+                    httparse::Status::Complete((size, _)) => Ok(Some((data, at + size))),
+                    httparse::Status::Partial if rest.len() - at > MOST_HEAD => Err(Flaw::Head),
+                    httparse::Status::Partial => Ok(None),
+                };
+            }
+            httparse::Status::Complete((line, size)) => {
+                if size > (most - data.len()) as u64 {
+                    return Err(Flaw::Body);
+                }
+                let (from, to) = (at + line, at + line + size as usize);
+                let Some(bytes) = rest.get(from..to + 2) else { return Ok(None) };
+                if !bytes.ends_with(b"\r\n") {
+                    return Err(Flaw::Malformed);
+                }
+                data.extend_from_slice(&rest[from..to]);
+                at = to + 2;
+            }
+        }
+    }
+}
+
+fn keeps(version: Option<u8>, headers: &Headers) -> bool {
+    let kept = version != Some(0) || headers.says("connection", "keep-alive");
+    kept && !headers.says("connection", "close")
+}
+
+/// Reads the request at the start of what has arrived.
+///
+/// # Errors
+///
+/// If it can't become a request that this node takes.
+pub fn read_request(input: &[u8]) -> Result<Read<Request>, Flaw> {
+    let mut raw = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut head = httparse::Request::new(&mut raw);
+    let Some(size) = parsed(head.parse(input), input)? else { return Ok(Read::Nothing) };
+    if size > MOST_HEAD {
+        return Err(Flaw::Head);
+    }
+    let (method, target) =
+        (head.method.unwrap_or_default().to_owned(), head.path.unwrap_or_default().to_owned());
+    let (version, headers) = (head.version, headers(head.headers));
+    let framing = framing(&headers, Framing::Length(0))?;
+    let Some((body, taken)) = body(&input[size..], framing, MOST_BODY, false)? else {
+        return Ok(Read::Head { expects: headers.says("expect", "100-continue") });
+    };
+    let keeps = keeps(version, &headers);
+    Ok(Read::Whole(Request { method, target, headers, body, keeps }, size + taken))
+}
+
+/// Reads the response at the start of what has arrived, `ended` if no more can come; bodies up to `most`.
+///
+/// # Errors
+///
+/// If it can't become a response.
+pub fn read_response(input: &[u8], ended: bool, most: usize) -> Result<Read<Response>, Flaw> {
+    let mut skipped = 0;
+    loop {
+        let mut raw = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut head = httparse::Response::new(&mut raw);
+        let rest = &input[skipped..];
+        let Some(size) = parsed(head.parse(rest), rest)? else { return Ok(Read::Nothing) };
+        let (version, status) = (head.version, head.code.unwrap_or_default());
+        let headers = headers(head.headers);
+        match status {
+            100..=199 => {
+                skipped += size;
+                continue;
+            }
+            200..=599 => {}
+            _ => return Err(Flaw::Malformed),
+        }
+        let none = matches!(status, 204 | 304);
+        let framing = if none { Framing::Length(0) } else { framing(&headers, Framing::ToEnd)? };
+        let keeps = keeps(version, &headers) && !matches!(framing, Framing::ToEnd);
+        let Some((body, taken)) = body(&rest[size..], framing, most, ended)? else {
+            return Ok(Read::Head { expects: false });
+        };
+        return Ok(Read::Whole(Response { status, headers, body, keeps }, skipped + size + taken));
+    }
+}
+
+/// The usual words for a status.
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        _ => "Internal Server Error",
+    }
+}
+
+/// Writes a response; `closes` says that the connection ends behind it.
+pub fn write_response(out: &mut Vec<u8>, status: u16, fields: &[(&str, &str)], body: &[u8], closes: bool) {
+    let mut head = format!("HTTP/1.1 {status} {}\r\nContent-Length: {}\r\n", reason(status), body.len());
+    write_fields(&mut head, fields);
+    head.push_str(if closes { "Connection: close\r\n\r\n" } else { "\r\n" });
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(body);
+}
+
+/// Writes a request; a body comes with its length.
+pub fn write_request(out: &mut Vec<u8>, method: &str, target: &str, fields: &[(&str, &str)], body: &[u8]) {
+    let mut head = format!("{method} {target} HTTP/1.1\r\n");
+    write_fields(&mut head, fields);
+    if !body.is_empty() || method == "POST" {
+        let _ = write!(head, "Content-Length: {}\r\n", body.len());
+    }
+    head.push_str("\r\n");
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(body);
+}
+
+fn write_fields(head: &mut String, fields: &[(&str, &str)]) {
+    for (name, value) in fields {
+        let _ = write!(head, "{name}: {value}\r\n");
+    }
+}
--- /dev/null
+++ b/src/net/proxy_pass.rs
@@ -0,0 +1,302 @@
+//! Proxy passes: connections to workers, the pool of idle ones, and one attempt's life on them.
+
+use super::connection::{Callbacks, Connection, State};
+use super::event_loop::{Due, Owner, Reactor};
+use super::http::{self, Read, Response};
+use super::transaction::{Input, Load, PassEnd, PassId, Payload};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+
+/// Of the time after which a worker closes an idle connection, the share for which it is kept.
+const IDLE_SHARE: f64 = 0.8;
+/// How long the answer to a cancel, or to a pass that has been decided, is waited for.
+const PATIENCE: f64 = 2.0;
+
+/// What a connection is carrying.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Errand {
+    /// Nothing.
+    Idle,
+    /// A pass; whether its last byte was written.
+    Pass(PassId, bool),
+    /// A cancel, or a pass whose end no longer matters.
+    Other,
+}
+
+struct Errands {
+    worker: SocketAddr,
+    errand: Errand,
+    /// Counts the errands, so that a timer of an earlier one is known.
+    round: u64,
+}
+
+struct Session {
+    connection: Connection<TcpStream>,
+    errands: Errands,
+}
+
+/// The connections to all workers.
+pub struct ProxyPasses {
+    sessions: HashMap<usize, Session>,
+    /// Idle connections by worker; the last used comes first.
+    idle: HashMap<SocketAddr, Vec<usize>>,
+    by_pass: HashMap<PassId, usize>,
+    most: usize,
+    dial_timeout: f64,
+    keep: f64,
+}
+
+/// Calls back from one connection.
+struct Caller<'a> {
+    errands: &'a mut Errands,
+    reactor: &'a mut Reactor,
+}
+
+impl Caller<'_> {
+    fn written(&mut self, connection: &Connection<TcpStream>) {
+        if let Errand::Pass(pass, written @ false) = &mut self.errands.errand {
+            if connection.flushed() && !matches!(connection.state(), State::Dialing | State::Ended) {
+                *written = true;
+                self.reactor.queue.push_back(Input::Written(*pass));
+            }
+        }
+    }
+
+    fn over(&mut self, end: PassEnd, load: Load) {
+        if let Errand::Pass(pass, _) = std::mem::replace(&mut self.errands.errand, Errand::Other) {
+            self.reactor.queue.push_back(Input::Pass(pass, end, load));
+        }
+    }
+
+    fn answered(&mut self, response: &Response, early: bool) {
+        let not_run = response.headers.get("x-not-run") == Some("1");
+        let end = match response.status {
+            202 if early => PassEnd::NeverSent, // the worker will never have it whole
+            202 => PassEnd::Accepted,
+            503 | 504 if not_run => PassEnd::NotRun,
+            _ => PassEnd::Error,
+        };
+        self.over(end, response.headers.get("x-load").map(load_header).unwrap_or_default());
+    }
+}
+
+impl Callbacks<TcpStream> for Caller<'_> {
+    fn received(&mut self, connection: &mut Connection<TcpStream>) {
+        self.written(connection);
+        let ended = connection.heard_all();
+        // Bytes on an idle connection belong to nothing; an early answer, to a request not yet written, ends it.
+        let early = matches!(self.errands.errand, Errand::Pass(_, false));
+        match http::read_response(&connection.input, ended, http::MOST_BODY) {
+            _ if self.errands.errand == Errand::Idle => connection.abort(),
+            Ok(Read::Whole(response, size)) => {
+                self.answered(&response, early);
+                connection.consume(size);
+                if response.keeps && !early && !ended && connection.input.is_empty() {
+                    self.errands.errand = Errand::Idle;
+                } else {
+                    connection.abort();
+                }
+            }
+            Ok(_) if !ended => {}
+            Ok(_) | Err(_) => {
+                connection.abort();
+                self.ended(connection);
+            }
+        }
+    }
+
+    fn ended(&mut self, _: &mut Connection<TcpStream>) {
+        let written = matches!(self.errands.errand, Errand::Pass(_, true));
+        self.over(if written { PassEnd::Reset } else { PassEnd::NeverSent }, Load::new());
+    }
+}
+
+/// A load report from a header: `TEXT name=value, name=value`.
+fn load_header(text: &str) -> Load {
+    let text = text.trim();
+    let pairs = text.strip_prefix("TEXT").unwrap_or(text).split(',');
+    let pair = |pair: &str| {
+        let (name, value) = pair.split_once('=')?;
+        Some((name.trim().to_owned(), value.trim().parse().ok()?))
+    };
+    pairs.filter_map(pair).collect()
+}
+
+impl ProxyPasses {
+    /// No connections yet, at most so many ever.
+    pub fn new(most: usize, dial_timeout: f64, conn_idle: f64) -> Self {
+        let keep = if conn_idle > 0.0 { conn_idle * IDLE_SHARE } else { 1.0 };
+        let (sessions, idle, by_pass) = Default::default();
+        Self { sessions, idle, by_pass, most, dial_timeout, keep }
+    }
+
+    /// Starts a pass that may take so many seconds.
+    pub fn start(
+        &mut self,
+        reactor: &mut Reactor,
+        pass: PassId,
+        worker: SocketAddr,
+        payload: &Payload,
+        wait: f64,
+    ) {
+        let deadline = format!("{:.3}", wait.max(0.001));
+        let host = worker.to_string();
+        let mut fields =
+            vec![("Host", host.as_str()), ("X-Request-Id", payload.id.as_str()), ("X-Deadline", &deadline)];
+        if let Some(key) = &payload.idempotency_key {
+            fields.push(("Idempotency-Key", key));
+        }
+        let mut bytes = Vec::new();
+        http::write_request(&mut bytes, &payload.method, &payload.target, &fields, &payload.body);
+        self.carry(reactor, worker, Errand::Pass(pass, false), &bytes, wait + PATIENCE);
+    }
+
+    /// Gives a pass up: tells its worker, or closes its connection where the worker has not answered.
+    pub fn abandon(
+        &mut self,
+        reactor: &mut Reactor,
+        pass: PassId,
+        worker: SocketAddr,
+        id: &str,
+        accepted: bool,
+    ) {
+        if accepted {
+            let (host, target) = (worker.to_string(), format!("/jobs/{id}"));
+            let mut bytes = Vec::new();
+            http::write_request(&mut bytes, "DELETE", &target, &[("Host", &host)], b"");
+            return self.carry(reactor, worker, Errand::Other, &bytes, PATIENCE);
+        }
+        if let Some(key) = self.by_pass.get(&pass).copied() {
+            if let Some(session) = self.sessions.get_mut(&key) {
+                session.errands.errand = Errand::Other;
+                session.connection.abort();
+            }
+            self.after(reactor, key);
+        }
+    }
+
+    fn carry(&mut self, reactor: &mut Reactor, worker: SocketAddr, errand: Errand, bytes: &[u8], wait: f64) {
+        let key = match self.pooled(reactor, worker) {
+            Some(key) => key,
+            None => match self.dial(reactor, worker) {
+                Some(key) => key,
+                None => {
+                    if let Errand::Pass(pass, _) = errand {
+                        reactor.queue.push_back(Input::Pass(pass, PassEnd::NeverSent, Load::new()));
+                    }
+                    return;
+                }
+            },
+        };
+        let Some(session) = self.sessions.get_mut(&key) else { return };
+        session.errands.errand = errand;
+        session.errands.round += 1;
+        let round = session.errands.round;
+        if let Errand::Pass(pass, _) = errand {
+            self.by_pass.insert(pass, key);
+        }
+        reactor.timer(reactor.now + wait, Due::Pass(key, round));
+        let mut caller = Caller { errands: &mut session.errands, reactor };
+        session.connection.send(bytes, &mut caller);
+        caller.written(&session.connection);
+        self.after(reactor, key);
+    }
+
+    /// An idle connection to the worker that is still whole.
+    fn pooled(&mut self, reactor: &mut Reactor, worker: SocketAddr) -> Option<usize> {
+        while let Some(key) = self.idle.get_mut(&worker).and_then(Vec::pop) {
+            let Some(session) = self.sessions.get_mut(&key) else { continue };
+            // Its end may have arrived without having been noticed.
+            session.connection.ready(true, false, &mut Caller { errands: &mut session.errands, reactor });
+            if session.connection.state() == State::Open {
+                return Some(key);
+            }
+            self.drop(reactor, key);
+        }
+        None
+    }
+
+    fn dial(&mut self, reactor: &mut Reactor, worker: SocketAddr) -> Option<usize> {
+        if self.sessions.len() >= self.most {
+            let oldest = self.idle.values().filter_map(|keys| keys.first()).min().copied()?;
+            self.drop(reactor, oldest);
+        }
+        let stream = super::event_loop::dial(worker).ok()?;
+        let key = reactor.register(&stream, Owner::Pass).ok()?;
+        let connection = Connection::new(stream, true, http::MOST_HEAD + 2 * http::MOST_BODY);
+        let errands = Errands { worker, errand: Errand::Other, round: 0 };
+        self.sessions.insert(key, Session { connection, errands });
+        reactor.timer(reactor.now + self.dial_timeout, Due::Dial(key));
+        Some(key)
+    }
+
+    /// A connection can be read or written.
+    pub fn ready(&mut self, reactor: &mut Reactor, key: usize, readable: bool, writable: bool) {
+        let Some(session) = self.sessions.get_mut(&key) else { return };
+        let mut caller = Caller { errands: &mut session.errands, reactor };
+        session.connection.ready(readable, writable, &mut caller);
+        caller.written(&session.connection);
+        self.after(reactor, key);
+    }
+
+    /// A connection has had its time to be made.
+    pub fn dial_due(&mut self, reactor: &mut Reactor, key: usize) {
+        if let Some(s) = self.sessions.get_mut(&key).filter(|s| s.connection.state() == State::Dialing) {
+            s.connection.abort();
+            Caller { errands: &mut s.errands, reactor }.over(PassEnd::NeverSent, Load::new());
+            self.after(reactor, key);
+        }
+    }
+
+    /// An errand, or an idle connection, has had its time.
+    pub fn pass_due(&mut self, reactor: &mut Reactor, key: usize, round: u64) {
+        if let Some(s) = self.sessions.get_mut(&key).filter(|s| s.errands.round == round) {
+            s.connection.abort();
+            Caller { errands: &mut s.errands, reactor }.ended(&mut s.connection);
+            self.after(reactor, key);
+        }
+    }
+
+    /// Puts a connection back to where it belongs after something has happened on it.
+    fn after(&mut self, reactor: &mut Reactor, key: usize) {
+        let Some(session) = self.sessions.get_mut(&key) else { return };
+        if !matches!(session.errands.errand, Errand::Pass(..)) {
+            self.by_pass.retain(|_, k| *k != key);
+        }
+        if matches!(session.connection.state(), State::Ended | State::HalfOpen) {
+            return self.drop(reactor, key);
+        }
+        reactor.rearm(session.connection.stream(), key, session.connection.interest());
+        let pool = self.idle.entry(session.errands.worker).or_default();
+        if session.errands.errand == Errand::Idle && !pool.contains(&key) {
+            session.errands.round += 1;
+            reactor.timer(reactor.now + self.keep, Due::Pass(key, session.errands.round));
+            pool.push(key);
+        }
+    }
+
+    fn drop(&mut self, reactor: &mut Reactor, key: usize) {
+        let Some(session) = self.sessions.remove(&key) else { return };
+        reactor.forget(session.connection.stream());
+        self.by_pass.retain(|_, k| *k != key);
+        if let Some(pool) = self.idle.get_mut(&session.errands.worker) {
+            pool.retain(|k| *k != key);
+            if pool.is_empty() {
+                self.idle.remove(&session.errands.worker);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a load report that is misread, or in which a broken figure becomes a 0.
+    #[test]
+    fn load_header_is_read_by_name() {
+        let load = load_header("TEXT inflight=7, queue=2, util=0.61, x0=what");
+        let names: Vec<_> = load.iter().map(|(name, value)| (name.as_str(), *value)).collect();
+        assert_eq!(names, [("inflight", 7.0), ("queue", 2.0), ("util", 0.61)]);
+    }
+}
--- /dev/null
+++ b/src/net/user_agent.rs
@@ -0,0 +1,428 @@
+//! The user agents' side: the listener, their connections, the workers' call-backs, the readiness check.
+
+use super::connection::{Callbacks, Connection, State};
+use super::event_loop::{Due, Owner, Reactor};
+use super::http::{self, Headers, Read, Request};
+use super::transaction::{Answer, Input, JobCall, JobState, Load, Payload, Submission};
+use crate::interface::{Settings, sound};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::io;
+use std::net::{TcpListener, TcpStream};
+
+/// How long a connection may lie idle.
+const IDLE: f64 = 120.0;
+/// How long a request may take to arrive, and an answer to be taken.
+const PATIENCE: f64 = 30.0;
+/// How long the end of a connection is waited for after the last answer on it.
+const LINGER: f64 = 2.0;
+
+/// Where a connection is in its dialogue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Between requests, or within one.
+    Reading,
+    /// A transaction waits for its final answer.
+    Held,
+}
+
+struct Agent {
+    key: usize,
+    phase: Phase,
+    /// Whether the connection ends behind the answer.
+    closes: bool,
+    /// The peer was told to go on with a body.
+    told_on: bool,
+    /// Counts what its timer waits for, so that one of an earlier wait is known.
+    round: u64,
+}
+
+struct Session {
+    connection: Connection<TcpStream>,
+    agent: Agent,
+}
+
+/// All connections that user agents and workers have opened.
+pub struct UserAgents {
+    listener: Option<TcpListener>,
+    listener_key: usize,
+    sessions: HashMap<usize, Session>,
+    settings: Settings,
+    most: usize,
+    paused: bool,
+    stopping: bool,
+}
+
+/// Calls back from one connection.
+struct Caller<'a> {
+    agent: &'a mut Agent,
+    settings: &'a Settings,
+    stopping: bool,
+    reactor: &'a mut Reactor,
+}
+
+#[derive(Deserialize)]
+struct RawCall {
+    id: String,
+    from: String,
+    state: String,
+    #[serde(default)]
+    share: f64,
+    #[serde(default)]
+    result: String,
+    #[serde(default)]
+    load: serde_json::Map<String, serde_json::Value>,
+}
+
+/// What a request asks for.
+#[derive(Debug, PartialEq)]
+enum Wanted {
+    /// An answer that can be given at once: status, fields, body.
+    Now(u16, &'static [(&'static str, &'static str)], &'static str),
+    /// A worker's call-back.
+    Call(JobCall),
+    /// A transaction.
+    Transaction(Box<Submission>),
+}
+
+fn call(body: &[u8]) -> Option<JobCall> {
+    let raw: RawCall = serde_json::from_slice(body).ok()?;
+    let state = match raw.state.as_str() {
+        "started" => JobState::Started,
+        "running" => JobState::Running(raw.share),
+        "done" => JobState::Done(raw.result.into_bytes()),
+        "failed" => JobState::Failed,
+        "returned" => JobState::Returned,
+        "lost" => JobState::Lost,
+        _ => JobState::Unknown,
+    };
+    let load: Load = raw.load.into_iter().filter_map(|(name, value)| Some((name, value.as_f64()?))).collect();
+    Some(JobCall { id: raw.id, from: raw.from, state, load })
+}
+
+/// The subject in the cookie `k`, in hexadecimal digits.
+fn key(headers: &Headers) -> u64 {
+    let pairs = headers.get("cookie").unwrap_or_default().split(';');
+    let value = pairs.filter_map(|pair| pair.trim().strip_prefix("k=")).next();
+    value.and_then(|value| u64::from_str_radix(value.trim(), 16).ok()).unwrap_or(0)
+}
+
+fn extra(headers: &Headers, name: &str) -> Option<f64> {
+    let pairs = headers.get("x-extras").unwrap_or_default().split(',');
+    let value = pairs.filter_map(|pair| pair.split_once('=')).find(|(n, _)| n.trim() == name)?.1;
+    value.trim().parse().ok().and_then(sound)
+}
+
+const BAD: Wanted = Wanted::Now(400, &[], "bad request\n");
+
+fn wanted(request: Request, settings: &Settings, stopping: bool) -> Wanted {
+    let path = request.target.split('?').next().unwrap_or_default();
+    let first = path.strip_prefix('/').unwrap_or_default().split('/').next().unwrap_or_default();
+    match (path, request.method.as_str()) {
+        // A 503 would count as an unavailable answer.
+        ("/-/ready", "GET" | "HEAD") if stopping => return Wanted::Now(500, &[], "stopping\n"),
+        ("/-/ready", "GET" | "HEAD") => return Wanted::Now(200, &[], "ready\n"),
+        ("/-/ready", _) => return Wanted::Now(405, &[("Allow", "GET, HEAD")], "wrong method\n"),
+        ("/v1/job-events", "POST") => return call(&request.body).map_or(BAD, Wanted::Call),
+        _ => {}
+    }
+    let class = settings.classes.iter().position(|class| !first.is_empty() && class.name == first);
+    let Some(class) = class.filter(|_| path != "/v1/job-events") else {
+        let known = path == "/v1/job-events";
+        return if known {
+            Wanted::Now(405, &[("Allow", "POST")], "wrong method\n")
+        } else {
+            Wanted::Now(404, &[], "unknown path\n")
+        };
+    };
+    if request.method != "POST" {
+        return Wanted::Now(405, &[("Allow", "POST")], "wrong method\n");
+    }
+    let number = |name: &str| match request.headers.get(name).map(str::parse::<f64>) {
+        None => Ok(None),
+        Some(Ok(x)) => sound(x).map(Some).ok_or(()),
+        Some(Err(_)) => Err(()),
+    };
+    let Some(id) = request.headers.get("x-request-id").filter(|id| plain(id)) else { return BAD };
+    let Ok(budget) = number("x-deadline") else { return BAD };
+    let payload = Payload {
+        id: id.to_owned(),
+        method: request.method.clone(),
+        target: request.target.clone(),
+        idempotency_key: request.headers.get("idempotency-key").map(str::to_owned),
+        body: Vec::new(),
+    };
+    let mut submission = Submission {
+        payload,
+        class: class as u8,
+        tenant: request.headers.get("x-tenant").map(str::to_owned),
+        key: key(&request.headers),
+        budget,
+        hint: number("x-cost-hint").ok().flatten().map(|us| us / 1e6),
+        slots: extra(&request.headers, "slots"),
+        memory: extra(&request.headers, "memory"),
+        repeat: request.headers.get("x-retry") == Some("1"),
+    };
+    submission.payload.body = request.body;
+    Wanted::Transaction(Box::new(submission))
+}
+
+/// Whether an id can stand in a path.
+fn plain(id: &str) -> bool {
+    !id.is_empty() && id.len() <= 256 && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.~".contains(&b))
+}
+
+impl Caller<'_> {
+    fn wait(&mut self, time: f64) {
+        self.agent.round += 1;
+        let due = Due::Agent(self.agent.key, self.agent.round);
+        self.reactor.timer(self.reactor.now + time, due);
+    }
+
+    fn write(
+        &mut self,
+        connection: &mut Connection<TcpStream>,
+        status: u16,
+        fields: &[(&str, &str)],
+        body: &[u8],
+    ) {
+        let mut bytes = Vec::new();
+        let closes = self.agent.closes || self.stopping;
+        http::write_response(&mut bytes, status, fields, body, closes);
+        connection.send(&bytes, self);
+        if closes {
+            connection.close(self);
+            self.wait(LINGER);
+        } else {
+            self.wait(IDLE);
+        }
+    }
+
+    fn answer(&mut self, connection: &mut Connection<TcpStream>, answer: &Answer) {
+        self.agent.phase = Phase::Reading;
+        match answer {
+            Answer::Served(result) => self.write(connection, 200, &[], result),
+            Answer::Unavailable(after) => {
+                let after = format!("{after:.3}");
+                self.write(connection, 503, &[("Retry-After", &after)], b"unavailable\n");
+            }
+            Answer::Failed => self.write(connection, 502, &[], b"failed\n"),
+            Answer::Held => self.write(connection, 409, &[], b"held already\n"),
+        }
+        self.read(connection);
+    }
+
+    /// Takes requests off the input until one is held.
+    fn read(&mut self, connection: &mut Connection<TcpStream>) {
+        while self.agent.phase == Phase::Reading && !connection.input.is_empty() {
+            match http::read_request(&connection.input) {
+                Ok(Read::Whole(request, size)) => {
+                    connection.consume(size);
+                    (self.agent.closes, self.agent.told_on) = (!request.keeps, false);
+                    let head = request.method == "HEAD";
+                    match wanted(request, self.settings, self.stopping) {
+                        Wanted::Now(status, fields, body) => {
+                            self.write(connection, status, fields, if head { b"" } else { body.as_bytes() });
+                        }
+                        Wanted::Call(call) => {
+                            self.reactor.queue.push_back(Input::Call(call));
+                            self.write(connection, 200, &[], b"");
+                        }
+                        Wanted::Transaction(submission) => {
+                            self.agent.phase = Phase::Held;
+                            self.agent.round += 1; // no time limit but its own
+                            let agent = self.agent.key as u64;
+                            self.reactor.queue.push_back(Input::Arrived(agent, *submission));
+                        }
+                    }
+                }
+                Ok(Read::Head { expects: true }) if !self.agent.told_on => {
+                    self.agent.told_on = true;
+                    connection.send(b"HTTP/1.1 100 Continue\r\n\r\n", self);
+                    return self.wait(PATIENCE);
+                }
+                Ok(_) => return,
+                Err(flaw) => {
+                    self.agent.closes = true;
+                    return self.write(connection, flaw.status(), &[], b"bad request\n");
+                }
+            }
+        }
+    }
+}
+
+impl Callbacks<TcpStream> for Caller<'_> {
+    fn received(&mut self, connection: &mut Connection<TcpStream>) {
+        let fresh = self.agent.phase == Phase::Reading;
+        self.read(connection);
+        if fresh && self.agent.phase == Phase::Reading && !connection.input.is_empty() {
+            self.wait(PATIENCE);
+        }
+        if connection.state() == State::HalfOpen {
+            if self.agent.phase == Phase::Held {
+                connection.abort();
+                self.ended(connection);
+            } else {
+                connection.close(self);
+            }
+        }
+    }
+
+    fn ended(&mut self, _: &mut Connection<TcpStream>) {
+        if self.agent.phase == Phase::Held {
+            self.agent.phase = Phase::Reading;
+            self.reactor.queue.push_back(Input::Left(self.agent.key as u64));
+        }
+    }
+}
+
+impl UserAgents {
+    /// Listens; takes at most so many connections.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be listened on.
+    pub fn new(
+        reactor: &mut Reactor,
+        listener: TcpListener,
+        settings: Settings,
+        most: usize,
+    ) -> io::Result<Self> {
+        let listener_key = reactor.register(&listener, Owner::Agent)?;
+        reactor.rearm(&listener, listener_key, (true, false));
+        let (listener, sessions) = (Some(listener), HashMap::new());
+        Ok(Self { listener, listener_key, sessions, settings, most, paused: false, stopping: false })
+    }
+
+    /// The listener or a connection can be read or written.
+    pub fn ready(&mut self, reactor: &mut Reactor, key: usize, readable: bool, writable: bool) {
+        if key == self.listener_key {
+            return self.accept(reactor);
+        }
+        self.with(reactor, key, |connection, caller| connection.ready(readable, writable, caller));
+    }
+
+    /// Gives a final answer to the user agent that still waits for it.
+    pub fn answer(&mut self, reactor: &mut Reactor, agent: u64, answer: &Answer) {
+        self.with(reactor, agent as usize, |connection, caller| {
+            if caller.agent.phase == Phase::Held {
+                caller.answer(connection, answer);
+            }
+        });
+    }
+
+    /// A connection has had its time.
+    pub fn due(&mut self, reactor: &mut Reactor, key: usize, round: u64) {
+        self.with(reactor, key, |connection, caller| {
+            let stale = caller.agent.round != round || caller.agent.phase == Phase::Held;
+            if stale {
+                return;
+            }
+            if connection.state() == State::Open && connection.input.is_empty() && connection.flushed() {
+                connection.close(caller);
+                caller.wait(LINGER);
+            } else if connection.state() == State::Open && connection.flushed() {
+                caller.agent.closes = true;
+                caller.write(connection, 408, &[], b"too slow\n");
+            } else {
+                connection.abort();
+            }
+        });
+    }
+
+    /// From now on answers end their connections and the readiness check fails.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Stops listening and closes what lies idle; whether nothing is left that is owed an answer.
+    pub fn wind_up(&mut self, reactor: &mut Reactor) -> bool {
+        self.accept(reactor);
+        let keys: Vec<usize> = self.sessions.keys().copied().collect();
+        for &key in &keys {
+            // What has arrived is taken first.
+            self.ready(reactor, key, true, false);
+        }
+        for key in keys {
+            self.with(reactor, key, |connection, caller| {
+                let idle = caller.agent.phase == Phase::Reading && connection.input.is_empty();
+                if idle && connection.state() == State::Open {
+                    connection.close(caller);
+                    caller.wait(LINGER);
+                }
+            });
+        }
+        if self.sessions.is_empty() {
+            if let Some(listener) = self.listener.take() {
+                reactor.forget(&listener);
+            }
+        }
+        self.sessions.is_empty()
+    }
+
+    fn with(
+        &mut self,
+        reactor: &mut Reactor,
+        key: usize,
+        act: impl FnOnce(&mut Connection<TcpStream>, &mut Caller<'_>),
+    ) {
+        let Some(session) = self.sessions.get_mut(&key) else { return };
+        let (settings, stopping) = (&self.settings, self.stopping);
+        let mut caller = Caller { agent: &mut session.agent, settings, stopping, reactor };
+        act(&mut session.connection, &mut caller);
+        if session.connection.state() == State::Ended {
+            reactor.forget(session.connection.stream());
+            self.sessions.remove(&key);
+            if std::mem::take(&mut self.paused) {
+                self.accept(reactor);
+            }
+        } else {
+            reactor.rearm(session.connection.stream(), key, session.connection.interest());
+        }
+    }
+
+    fn accept(&mut self, reactor: &mut Reactor) {
+        loop {
+            if self.sessions.len() >= self.most && !self.make_room(reactor) {
+                self.paused = true;
+                return;
+            }
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nodelay(true);
+                    let key =
+                        stream.set_nonblocking(true).and_then(|()| reactor.register(&stream, Owner::Agent));
+                    let Ok(key) = key else { continue };
+                    let connection = Connection::new(stream, false, http::MOST_HEAD + 2 * http::MOST_BODY);
+                    let agent = Agent { key, phase: Phase::Reading, closes: false, told_on: false, round: 0 };
+                    self.sessions.insert(key, Session { connection, agent });
+                    self.with(reactor, key, |connection, caller| {
+                        caller.wait(IDLE);
+                        connection.ready(true, false, caller);
+                    });
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(_) => break,
+            }
+        }
+        if let Some(listener) = &self.listener {
+            reactor.rearm(listener, self.listener_key, (true, false));
+        }
+    }
+
+    /// Ends the connection that has been there for longest of those that lie idle.
+    fn make_room(&mut self, reactor: &mut Reactor) -> bool {
+        let idle = |(key, s): (&usize, &Session)| {
+            let idle =
+                s.agent.phase == Phase::Reading && s.connection.input.is_empty() && s.connection.flushed();
+            idle.then_some(*key)
+        };
+        let Some(key) = self.sessions.iter().filter_map(idle).min() else { return false };
+        if let Some(session) = self.sessions.remove(&key) {
+            reactor.forget(session.connection.stream());
+        }
+        true
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,6 +19,15 @@
     extra: Extra,
     weight_source: String,
     counted_by: String,
+    dcs: Vec<String>,
+    machine_types: Vec<String>,
+    orgs: Vec<Org>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Org {
+    name: String,
 }
 
 impl Default for Raw {
@@ -36,6 +45,9 @@
             extra: Extra::default(),
             weight_source: "none".into(),
             counted_by: "request".into(),
+            dcs: Vec::new(),
+            machine_types: Vec::new(),
+            orgs: Vec::new(),
         }
     }
 }
@@ -43,6 +55,7 @@
 #[derive(Deserialize)]
 #[serde(default, rename_all = "kebab-case")]
 struct Service {
+    name: String,
     effect: String,
     dedup_scope: String,
     memory_span: f64,
@@ -60,6 +73,7 @@
     /// An unnamed effect is taken for the most careful one.
     fn default() -> Self {
         Self {
+            name: String::new(),
             effect: "side_effect".into(),
             dedup_scope: "cell".into(),
             memory_span: 0.0,
@@ -86,6 +100,8 @@
 #[serde(default, rename_all = "kebab-case")]
 struct Limits {
     cancel: bool,
+    conn_idle: f64,
+    max_open: usize,
     dial_timeout: f64,
     max_attempts: u16,
     max_retry_after: f64,
@@ -99,6 +115,8 @@
     fn default() -> Self {
         Self {
             cancel: false,
+            conn_idle: 0.0,
+            max_open: 0,
             dial_timeout: 0.25,
             max_attempts: 3,
             max_retry_after: 0.0,
@@ -204,6 +222,7 @@
             _ => Field::Other,
         });
         let classes = raw.services.iter().enumerate().map(|(i, service)| Class {
+            name: service.name.clone(),
             effect: match service.effect.as_str() {
                 "pure" => Effect::Safe,
                 "token" => Effect::Keyed,
@@ -257,6 +276,12 @@
             tip_after: raw.rules.tip_after,
             retry_budget: raw.rules.retry_budget()?,
             full_proves_nothing: raw.rules.may_shed_begun.unwrap_or(false),
+            zone_names: raw.dcs,
+            kind_names: raw.machine_types,
+            tenant_names: raw.orgs.into_iter().map(|org| org.name).collect(),
+            field_names: raw.report.fields.clone(),
+            conn_idle: raw.limits.conn_idle,
+            max_open: raw.limits.max_open,
         };
         settings.validate()?;
         Ok(settings)
@@ -279,6 +304,7 @@
         check(span(self.cold_from) && self.cold_from <= 1.0, "rules.cold-from", "between 0 and 1")?;
         check(span(self.dial_timeout), "limits.dial-timeout", "a time of 0 or more")?;
         check(span(self.max_retry_after), "limits.max-retry-after", "a time of 0 or more")?;
+        check(span(self.conn_idle), "limits.conn-idle", "a time of 0 or more")?;
         check(span(self.progress), "extra.progress", "a time of 0 or more")?;
         check(self.probe_price.is_finite() && self.cross_zone_price.is_finite(), "prices", "finite")?;
         if let Some(budget) = &self.retry_budget {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use std::collections::BTreeMap;
 use postproxy::{Action, Entry, Event, Health, ListKind, NewRequest, Note, Outcome, RequestId};
+use std::collections::BTreeMap;
 
 /// Sends `count` safe requests, one by one, each ended at once without a report; counts the choices.
 fn choices(bed: &mut Bed, count: u64) -> BTreeMap<u16, u64> {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,10 +5,10 @@
 mod common;
 
 use common::*;
+use postproxy::{Action, Dispatcher, Entry, Event, Health, ListKind, NewRequest, Note, Outcome, WorkerId};
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
-use postproxy::{Action, Dispatcher, Entry, Event, Health, ListKind, NewRequest, Note, Outcome, WorkerId};
 
 const GRACE: f64 = 0.5;
 const SLACK: f64 = 0.016;
