--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -147,7 +147,7 @@
 pub fn dial(to: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
-    socket.set_nodelay(true)?;
+    socket.set_tcp_nodelay(true)?;
     match socket.connect(&to.into()) {
         Ok(()) => {}
         Err(error) if error.raw_os_error() == Some(115) || error.kind() == io::ErrorKind::WouldBlock => {}
