Test the node on loopback, and close the connection idle for longest

tests/node.rs plays user agent, worker and discovery against a whole node: unchanged passing, kept connections, cancels, bad input, SIGTERM's course, the watch, few descriptors, a refused connection.

Two failures were the test's own: a worker that ended before its agent left had its job sent again, as it should be.

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -50,6 +50,8 @@
     Hub(transaction::Due),
     /// A user agent's connection, in its round.
     Agent(usize, u64),
+    /// Accepting goes on.
+    Accept,
     /// A worker's connection, in its round.
     Pass(usize, u64),
     /// A worker's connection that is being made.
@@ -175,6 +177,7 @@
     farm: Farm,
     stop: UnixStream,
     stop_key: usize,
+    address: SocketAddr,
     stopping: bool,
     /// Nothing is owed any more.
     done: bool,
@@ -192,6 +195,7 @@
         let mut reactor = Reactor::new(clock.now())?;
         let settings = config.settings;
         let listener = listen(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
+        let address = listener.local_addr()?;
         let sockets = config.sockets.saturating_sub(SPARE).max(16);
         let mut agent_most = sockets * 5 / 8;
         if settings.max_open > 0 {
@@ -208,7 +212,12 @@
         let stop_key = reactor.register(&stop, Owner::Stop)?;
         reactor.rearm(&stop, stop_key, (true, false));
         let (stopping, done) = (false, false);
-        Ok(Self { clock, reactor, hub, agents, passes, farm, stop, stop_key, stopping, done })
+        Ok(Self { clock, reactor, hub, agents, passes, farm, stop, stop_key, address, stopping, done })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Serves until it is told to stop and nothing is held any more.
@@ -256,6 +265,7 @@
         match due {
             Due::Hub(due) => reactor.queue.push_back(Input::Due(due)),
             Due::Agent(key, round) => self.agents.due(reactor, key, round),
+            Due::Accept => self.agents.accept_due(reactor),
             Due::Pass(key, round) => self.passes.pass_due(reactor, key, round),
             Due::Dial(key) => self.passes.dial_due(reactor, key),
             Due::Farm(call) => self.farm.due(reactor, call),
--- a/src/net/proxy_pass.rs
+++ b/src/net/proxy_pass.rs
@@ -26,6 +26,8 @@
 struct Errands {
     worker: SocketAddr,
     errand: Errand,
+    /// The pass that it carries or carried last.
+    pass: Option<PassId>,
     /// Counts the errands, so that a timer of an earlier one is known.
     round: u64,
 }
@@ -193,6 +195,7 @@
         session.errands.round += 1;
         let round = session.errands.round;
         if let Errand::Pass(pass, _) = errand {
+            session.errands.pass = Some(pass);
             self.by_pass.insert(pass, key);
         }
         reactor.timer(reactor.now + wait, Due::Pass(key, round));
@@ -218,13 +221,14 @@
 
     fn dial(&mut self, reactor: &mut Reactor, worker: SocketAddr) -> Option<usize> {
         if self.sessions.len() >= self.most {
+            // The first of a pool has been idle longest there; the lowest key was opened first.
             let oldest = self.idle.values().filter_map(|keys| keys.first()).min().copied()?;
             self.drop(reactor, oldest);
         }
         let stream = super::event_loop::dial(worker).ok()?;
         let key = reactor.register(&stream, Owner::Pass).ok()?;
         let connection = Connection::new(stream, true, http::MOST_HEAD + 2 * http::MOST_BODY);
-        let errands = Errands { worker, errand: Errand::Other, round: 0 };
+        let errands = Errands { worker, errand: Errand::Other, pass: None, round: 0 };
         self.sessions.insert(key, Session { connection, errands });
         reactor.timer(reactor.now + self.dial_timeout, Due::Dial(key));
         Some(key)
@@ -261,7 +265,7 @@
     fn after(&mut self, reactor: &mut Reactor, key: usize) {
         let Some(session) = self.sessions.get_mut(&key) else { return };
         if !matches!(session.errands.errand, Errand::Pass(..)) {
-            self.by_pass.retain(|_, k| *k != key);
+            session.errands.pass.take().map(|pass| self.by_pass.remove(&pass));
         }
         if matches!(session.connection.state(), State::Ended | State::HalfOpen) {
             return self.drop(reactor, key);
@@ -278,7 +282,7 @@
     fn drop(&mut self, reactor: &mut Reactor, key: usize) {
         let Some(session) = self.sessions.remove(&key) else { return };
         reactor.forget(session.connection.stream());
-        self.by_pass.retain(|_, k| *k != key);
+        session.errands.pass.map(|pass| self.by_pass.remove(&pass));
         if let Some(pool) = self.idle.get_mut(&session.errands.worker) {
             pool.retain(|k| *k != key);
             if pool.is_empty() {
--- a/src/net/transaction.rs
+++ b/src/net/transaction.rs
@@ -185,16 +185,12 @@
     attempts: Vec<Attempt>,
 }
 
-struct Worker {
-    id: String,
-    address: std::net::SocketAddr,
-}
-
 /// Every transaction and the dispatcher that decides on them.
 pub struct Hub {
     settings: Settings,
     dispatcher: Dispatcher,
-    workers: Vec<Worker>,
+    /// Where this node reaches each worker, by its number.
+    workers: Vec<std::net::SocketAddr>,
     numbers: HashMap<String, usize>,
     transactions: BTreeMap<RequestId, Transaction>,
     /// Transactions by their payload's id and by their user agent.
@@ -403,7 +399,7 @@
     }
 
     /// A load report in the settings' order; figures that are not there are no numbers, never 0.
-    fn report(&self, load: &Load) -> Vec<f32> {
+    pub fn report(&self, load: &Load) -> Vec<f32> {
         let figure = |wanted: &String| {
             let found = load.iter().find(|(name, _)| field(name) == wanted || name == wanted);
             found.map_or(f32::NAN, |(_, value)| *value as f32)
@@ -414,20 +410,14 @@
 
     fn member(&mut self, member: Member) -> Entry {
         let new = self.workers.len();
-        let at = *self.numbers.entry(member.id.clone()).or_insert(new);
+        let at = *self.numbers.entry(member.id).or_insert(new);
         if at == new {
-            self.workers.push(Worker { id: member.id, address: member.address });
-        } else {
-            self.workers[at].address = member.address;
+            self.workers.push(member.address);
         }
+        self.workers[at] = member.address;
         Entry { worker: worker_id(at), ..member.entry }
     }
 
-    /// The worker's name in the farm.
-    pub fn name(&self, worker: usize) -> Option<&str> {
-        self.workers.get(worker).map(|w| w.id.as_str())
-    }
-
     fn answer(&mut self, agent: AgentId, answer: Answer, out: &mut Vec<Command>) {
         if let Some(request) = self.by_agent.remove(&agent) {
             if let Some(t) = self.transactions.get_mut(&request) {
@@ -473,7 +463,7 @@
 
     fn send(&mut self, now: f64, request: RequestId, worker: WorkerId, timeout: f64, out: &mut Vec<Command>) {
         let number = number(worker);
-        let (Some(t), Some(w)) = (self.transactions.get_mut(&request), self.workers.get(number)) else {
+        let (Some(t), Some(address)) = (self.transactions.get_mut(&request), self.workers.get(number)) else {
             return;
         };
         let attempt = t.attempts.len() as u16;
@@ -489,7 +479,7 @@
             let outcome = if moot { Outcome::Moot } else { Outcome::Timeout };
             return self.ended(now, (request, attempt), outcome, &Load::new());
         }
-        out.push(Command::Start(pass, w.address, t.payload.clone(), wait));
+        out.push(Command::Start(pass, *address, t.payload.clone(), wait));
         out.push(Command::Timer(now + wait, Due::Attempt(request, attempt)));
     }
 
@@ -497,7 +487,7 @@
     fn abandon(&mut self, request: RequestId, attempt: u16, out: &mut Vec<Command>) {
         let Some(t) = self.transactions.get(&request) else { return };
         if let Some(a) = t.attempts.get(attempt as usize).filter(|a| !a.ended) {
-            let address = self.workers[a.worker].address;
+            let address = self.workers[a.worker];
             out.push(Command::Abandon(a.pass, address, t.payload.clone(), a.accepted));
         }
     }
--- a/src/net/user_agent.rs
+++ b/src/net/user_agent.rs
@@ -16,6 +16,8 @@
 const PATIENCE: f64 = 30.0;
 /// How long the end of a connection is waited for after the last answer on it.
 const LINGER: f64 = 2.0;
+/// How long nothing is accepted after the system could give no connection.
+const RETRY: f64 = 0.1;
 
 /// Where a connection is in its dialogue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,15 +35,34 @@
     closes: bool,
     /// The peer was told to go on with a body.
     told_on: bool,
+    /// A request has arrived in part, and its time runs.
+    partial: bool,
+    /// Since when it has waited for what it waits for.
+    since: f64,
     /// Counts what its timer waits for, so that one of an earlier wait is known.
     round: u64,
 }
 
+impl Agent {
+    fn new(key: usize) -> Self {
+        let (phase, since) = (Phase::Reading, 0.0);
+        Self { key, phase, closes: false, told_on: false, partial: false, since, round: 0 }
+    }
+}
+
 struct Session {
     connection: Connection<TcpStream>,
     agent: Agent,
 }
 
+impl Session {
+    /// Between requests, with nothing left to write.
+    fn idle(&self) -> bool {
+        let quiet = self.connection.input.is_empty() && self.connection.flushed();
+        self.agent.phase == Phase::Reading && self.connection.state() == State::Open && quiet
+    }
+}
+
 /// All connections that user agents and workers have opened.
 pub struct UserAgents {
     listener: Option<TcpListener>,
@@ -49,7 +70,9 @@
     sessions: HashMap<usize, Session>,
     settings: Settings,
     most: usize,
+    /// Nothing is accepted for now; a timer that goes on with it is set.
     paused: bool,
+    waking: bool,
     stopping: bool,
 }
 
@@ -175,6 +198,7 @@
 impl Caller<'_> {
     fn wait(&mut self, time: f64) {
         self.agent.round += 1;
+        self.agent.since = self.reactor.now;
         let due = Due::Agent(self.agent.key, self.agent.round);
         self.reactor.timer(self.reactor.now + time, due);
     }
@@ -218,7 +242,8 @@
             match http::read_request(&connection.input) {
                 Ok(Read::Whole(request, size)) => {
                     connection.consume(size);
-                    (self.agent.closes, self.agent.told_on) = (!request.keeps, false);
+                    (self.agent.closes, self.agent.told_on, self.agent.partial) =
+                        (!request.keeps, false, false);
                     let head = request.method == "HEAD";
                     match wanted(request, self.settings, self.stopping) {
                         Wanted::Now(status, fields, body) => {
@@ -238,8 +263,7 @@
                 }
                 Ok(Read::Head { expects: true }) if !self.agent.told_on => {
                     self.agent.told_on = true;
-                    connection.send(b"HTTP/1.1 100 Continue\r\n\r\n", self);
-                    return self.wait(PATIENCE);
+                    return connection.send(b"HTTP/1.1 100 Continue\r\n\r\n", self);
                 }
                 Ok(_) => return,
                 Err(flaw) => {
@@ -253,9 +277,10 @@
 
 impl Callbacks<TcpStream> for Caller<'_> {
     fn received(&mut self, connection: &mut Connection<TcpStream>) {
-        let fresh = self.agent.phase == Phase::Reading;
         self.read(connection);
-        if fresh && self.agent.phase == Phase::Reading && !connection.input.is_empty() {
+        // The time for a whole request runs from its first part: a peer that sends byte after byte gets no more.
+        let begun = self.agent.phase == Phase::Reading && !connection.input.is_empty();
+        if begun && !std::mem::replace(&mut self.agent.partial, true) {
             self.wait(PATIENCE);
         }
         if connection.state() == State::HalfOpen {
@@ -291,7 +316,16 @@
         let listener_key = reactor.register(&listener, Owner::Agent)?;
         reactor.rearm(&listener, listener_key, (true, false));
         let (listener, sessions) = (Some(listener), HashMap::new());
-        Ok(Self { listener, listener_key, sessions, settings, most, paused: false, stopping: false })
+        Ok(Self {
+            listener,
+            listener_key,
+            sessions,
+            settings,
+            most,
+            paused: false,
+            waking: false,
+            stopping: false,
+        })
     }
 
     /// The listener or a connection can be read or written.
@@ -346,7 +380,7 @@
         for key in keys {
             self.with(reactor, key, |connection, caller| {
                 let idle = caller.agent.phase == Phase::Reading && connection.input.is_empty();
-                if idle && connection.state() == State::Open {
+                if idle && connection.state() == State::Open && connection.flushed() {
                     connection.close(caller);
                     caller.wait(LINGER);
                 }
@@ -370,15 +404,23 @@
         let (settings, stopping) = (&self.settings, self.stopping);
         let mut caller = Caller { agent: &mut session.agent, settings, stopping, reactor };
         act(&mut session.connection, &mut caller);
-        if session.connection.state() == State::Ended {
+        let over = session.connection.state() == State::Ended;
+        if over {
             reactor.forget(session.connection.stream());
             self.sessions.remove(&key);
-            if std::mem::take(&mut self.paused) {
-                self.accept(reactor);
-            }
         } else {
             reactor.rearm(session.connection.stream(), key, session.connection.interest());
         }
+        let idle = self.sessions.get(&key).is_some_and(Session::idle);
+        if self.paused && (over || idle) && !std::mem::replace(&mut self.waking, true) {
+            reactor.timer(reactor.now, Due::Accept);
+        }
+    }
+
+    /// Accepting goes on where it was paused.
+    pub fn accept_due(&mut self, reactor: &mut Reactor) {
+        self.waking = false;
+        self.accept(reactor);
     }
 
     fn accept(&mut self, reactor: &mut Reactor) {
@@ -395,8 +437,7 @@
                         stream.set_nonblocking(true).and_then(|()| reactor.register(&stream, Owner::Agent));
                     let Ok(key) = key else { continue };
                     let connection = Connection::new(stream, false, http::MOST_HEAD + 2 * http::MOST_BODY);
-                    let agent = Agent { key, phase: Phase::Reading, closes: false, told_on: false, round: 0 };
-                    self.sessions.insert(key, Session { connection, agent });
+                    self.sessions.insert(key, Session { connection, agent: Agent::new(key) });
                     self.with(reactor, key, |connection, caller| {
                         caller.wait(IDLE);
                         connection.ready(true, false, caller);
@@ -404,25 +445,35 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(_) => break,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => {
+                    // No descriptors, perhaps: the listener stays readable, and asking on would be a busy loop.
+                    self.paused = true;
+                    return reactor.timer(reactor.now + RETRY, Due::Accept);
+                }
             }
         }
+        self.paused = false;
         if let Some(listener) = &self.listener {
             reactor.rearm(listener, self.listener_key, (true, false));
         }
     }
 
-    /// Ends the connection that has been there for longest of those that lie idle.
+    /// Ends the connection that has lain idle for longest.
     fn make_room(&mut self, reactor: &mut Reactor) -> bool {
-        let idle = |(key, s): (&usize, &Session)| {
-            let idle =
-                s.agent.phase == Phase::Reading && s.connection.input.is_empty() && s.connection.flushed();
-            idle.then_some(*key)
-        };
-        let Some(key) = self.sessions.iter().filter_map(idle).min() else { return false };
-        if let Some(session) = self.sessions.remove(&key) {
-            reactor.forget(session.connection.stream());
+        let idle = self.sessions.iter().filter(|(_, s)| s.idle());
+        // Of those that came in one turn of the loop, the first.
+        let age = |(key, s): &(&usize, &Session)| (s.agent.since, **key);
+        let oldest = idle.min_by(|a, b| age(a).partial_cmp(&age(b)).unwrap_or(std::cmp::Ordering::Equal));
+        let Some(key) = oldest.map(|(key, _)| *key) else { return false };
+        // A request may have arrived on it unseen; then it is no longer idle, and another may be.
+        self.with(reactor, key, |connection, caller| connection.ready(true, false, caller));
+        match self.sessions.get(&key) {
+            Some(session) if !session.idle() => return self.make_room(reactor),
+            Some(session) => reactor.forget(session.connection.stream()),
+            None => return true,
         }
+        self.sessions.remove(&key);
         true
     }
 }
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,359 @@
+//! A whole node on loopback: the test plays user agent, worker and discovery in turn, on blocking sockets.
+
+use postproxy::net::http::{self, Request};
+use postproxy::net::{Config, Node};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// A socket of the test's; nothing in these tests takes nearly so long.
+const LIMIT: Duration = Duration::from_secs(20);
+
+struct Peer {
+    stream: TcpStream,
+    input: Vec<u8>,
+}
+
+impl Peer {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(LIMIT)).expect("a time limit");
+        Self { stream, input: Vec::new() }
+    }
+
+    fn to(address: SocketAddr) -> Self {
+        Self::new(TcpStream::connect(address).expect("a connection"))
+    }
+
+    fn accept(listener: &TcpListener) -> Self {
+        Self::new(listener.accept().expect("a connection").0)
+    }
+
+    fn write(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).expect("it is written");
+    }
+
+    /// More bytes, or the end.
+    fn more(&mut self) -> bool {
+        let mut bytes = [0; 4096];
+        match self.stream.read(&mut bytes) {
+            Ok(size) => self.input.extend(&bytes[..size]),
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => return false,
+            Err(error) => panic!("nothing came: {error}"),
+        }
+        !self.input.is_empty()
+    }
+
+    fn request(&mut self) -> Request {
+        loop {
+            if let http::Read::Whole(request, size) = http::read_request(&self.input).expect("a request") {
+                self.input.drain(..size);
+                return request;
+            }
+            assert!(self.more(), "the connection ended");
+        }
+    }
+
+    fn response(&mut self) -> http::Response {
+        loop {
+            let read = http::read_response(&self.input, false, http::MOST_BODY).expect("a response");
+            if let http::Read::Whole(response, size) = read {
+                self.input.drain(..size);
+                return response;
+            }
+            assert!(self.more(), "the connection ended");
+        }
+    }
+
+    /// Sends and takes the answer's status.
+    fn ask(&mut self, text: &str) -> u16 {
+        self.write(text);
+        self.response().status
+    }
+
+    fn submit(&mut self, id: &str) {
+        self.write(&format!(
+            "POST /render/a?b=c HTTP/1.1\r\nHost: x\r\nX-Request-Id: {id}\r\nX-Deadline: 5.0\r\n\
+             Idempotency-Key: key-{id}\r\nContent-Length: 4\r\n\r\nbody"
+        ));
+    }
+
+    fn ended(&mut self) -> bool {
+        self.input.clear();
+        !self.more()
+    }
+}
+
+const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+struct Bed {
+    node: SocketAddr,
+    workers: Vec<TcpListener>,
+    discovery: TcpListener,
+    stop: UnixStream,
+    thread: JoinHandle<()>,
+}
+
+fn port() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port")
+}
+
+fn member(id: usize, at: SocketAddr, phase: &str) -> String {
+    format!(
+        r#"{{"id":"s-{id}","host_port":"{at}","locality":"riga","flavor":"m2","cell":1,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#
+    )
+}
+
+impl Bed {
+    fn new(workers: usize, sockets: usize) -> Self {
+        Self::listing(workers, sockets, &[])
+    }
+
+    /// A node whose list holds these workers and then some that nothing here stands for.
+    fn listing(workers: usize, sockets: usize, others: &[SocketAddr]) -> Self {
+        let workers: Vec<TcpListener> = (0..workers).map(|_| port()).collect();
+        let at = |w: &TcpListener| w.local_addr().expect("an address");
+        let all = workers.iter().map(at).chain(others.iter().copied());
+        let members: Vec<String> = all.enumerate().map(|(n, w)| member(n, w, "in_service")).collect();
+        let discovery = port();
+        let text = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f","limits":{{"sockets":{sockets}}},
+            "known":{{"revision":41,"complete":true,"members":[{}]}},
+            "settings":{{"balancers":1,"tick":0.002,"discovery":"on_request","dcs":["riga"],"machine-types":["m2"],
+                "services":[{{"name":"render","effect":"pure","aim":1.0,"late-value":1.0,"deadline":20.0}}],
+                "limits":{{"cancel":true,"max-attempts":3,"conn-idle":60.0,"dial-timeout":5.0}},
+                "rules":{{"must-ask-in":0.2}},"report":{{"fields":["backlog"],"via":"answers"}}}}}}"#,
+            at(&discovery),
+            members.join(",")
+        );
+        let (stop, signal) = UnixStream::pair().expect("a pair");
+        let (tell, told) = std::sync::mpsc::channel();
+        let thread = std::thread::spawn(move || {
+            let config = Config::from_json(&text, |_| None).expect("a configuration");
+            let mut node = Node::new(config, signal).expect("a node");
+            tell.send(node.address()).expect("the test waits");
+            node.run().expect("it runs");
+        });
+        let node = told.recv_timeout(LIMIT).expect("the node starts");
+        Self { node, workers, discovery, stop, thread }
+    }
+
+    fn call(&self, id: &str, from: usize, state: &str) -> u16 {
+        let body = format!(r#"{{"id":"{id}","from":"s-{from}",{state}}}"#);
+        let size = body.len();
+        Peer::to(self.node)
+            .ask(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {size}\r\n\r\n{body}"))
+    }
+
+    fn stop(mut self) {
+        self.stop.write_all(b"x").expect("a signal");
+        self.thread.join().expect("the node ends in good order");
+    }
+}
+
+/// Guards against a request that reaches its worker changed, a result that is not the worker's, and a
+/// connection for each request.
+#[test]
+fn a_job_goes_through_unchanged_and_its_connection_is_kept() {
+    let bed = Bed::new(1, 256);
+    let (mut agent, mut worker) = (Peer::to(bed.node), None);
+    for id in ["one", "two"] {
+        agent.submit(id);
+        let worker = worker.get_or_insert_with(|| Peer::accept(&bed.workers[0]));
+        let request = worker.request();
+        assert_eq!((request.method.as_str(), request.target.as_str()), ("POST", "/render/a?b=c"));
+        assert_eq!(request.headers.get("x-request-id"), Some(id));
+        assert_eq!(request.headers.get("idempotency-key"), Some(format!("key-{id}").as_str()));
+        assert_eq!(request.body, b"body");
+        worker.write(ACCEPTED);
+        assert_eq!(bed.call(id, 0, r#""state":"done","result":"\u0161 result""#), 200);
+        let answer = agent.response();
+        assert_eq!((answer.status, answer.body.as_slice()), (200, "\u{161} result".as_bytes()));
+        assert_eq!(bed.call(id, 0, r#""state":"lost""#), 200, "a late call-back is still answered");
+    }
+    bed.stop();
+}
+
+/// Guards against a request written to a connection whose end has arrived, which would end as a reset; and
+/// against giving up on a worker that proves that nothing ran.
+#[test]
+fn a_pooled_connection_that_ended_is_not_used_again() {
+    let bed = Bed::new(1, 256);
+    let mut agent = Peer::to(bed.node);
+    agent.submit("one");
+    let mut worker = Peer::accept(&bed.workers[0]);
+    worker.request();
+    worker.write(ACCEPTED);
+    assert_eq!(bed.call("one", 0, r#""state":"returned""#), 200);
+    assert_eq!(
+        worker.request().headers.get("x-request-id"),
+        Some("one"),
+        "sent again on the same connection"
+    );
+    worker.write("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Load: TEXT queue=3\r\nContent-Length: 0\r\n\r\n");
+    worker.request();
+    worker.write(ACCEPTED);
+    drop(worker);
+    assert_eq!(bed.call("one", 0, r#""state":"done","result":"r""#), 200);
+    assert_eq!(agent.response().status, 200);
+    agent.submit("two");
+    let mut worker = Peer::accept(&bed.workers[0]);
+    assert_eq!(worker.request().headers.get("x-request-id"), Some("two"));
+    worker.write(ACCEPTED);
+    assert_eq!(bed.call("two", 0, r#""state":"done","result":"r""#), 200);
+    assert_eq!(agent.response().status, 200);
+    bed.stop();
+}
+
+/// Guards against work that goes on for a user agent that has left: before the 202 its connection is
+/// closed, after it the worker is told by DELETE.
+#[test]
+fn a_job_that_nobody_waits_for_is_cancelled() {
+    let bed = Bed::new(1, 256);
+    let mut agent = Peer::to(bed.node);
+    agent.submit("one");
+    let mut worker = Peer::accept(&bed.workers[0]);
+    worker.request();
+    drop(agent);
+    assert!(worker.ended());
+    let mut agent = Peer::to(bed.node);
+    agent.submit("two");
+    let mut worker = Peer::accept(&bed.workers[0]);
+    worker.request();
+    worker.write(ACCEPTED);
+    // Once a call-back is answered, the 202 before it has been read.
+    assert_eq!(bed.call("two", 0, r#""state":"running","share":0.5"#), 200);
+    drop(agent);
+    let request = worker.request();
+    assert_eq!((request.method.as_str(), request.target.as_str()), ("DELETE", "/jobs/two"));
+    worker.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    bed.stop();
+}
+
+/// Guards against input that stops the node, holds it, or passes for something else; only the module
+/// words a 503.
+#[test]
+fn bad_input_has_its_answer() {
+    let bed = Bed::new(1, 256);
+    let ask = |text: &str| Peer::to(bed.node).ask(text);
+    assert_eq!(ask("GET /-/ready HTTP/1.1\r\n\r\n"), 200);
+    assert_eq!(ask("DELETE /-/ready HTTP/1.1\r\n\r\n"), 405);
+    assert_eq!(ask("GET /render HTTP/1.1\r\n\r\n"), 405);
+    assert_eq!(ask("GET /v1/job-events HTTP/1.1\r\n\r\n"), 405);
+    assert_eq!(ask("POST /nowhere HTTP/1.1\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n"), 404);
+    assert_eq!(ask("what is this\r\n\r\n"), 400);
+    assert_eq!(ask("POST /render HTTP/1.1\r\nContent-Length: 0\r\n\r\n"), 400, "no id");
+    assert_eq!(ask("POST /render HTTP/1.1\r\nX-Request-Id: a/../b\r\nContent-Length: 0\r\n\r\n"), 400);
+    assert_eq!(
+        ask("POST /render HTTP/1.1\r\nX-Request-Id: a\r\nX-Deadline: soon\r\nContent-Length: 0\r\n\r\n"),
+        400
+    );
+    assert_eq!(ask("POST /render HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nbody"), 400);
+    assert_eq!(
+        ask("POST /render HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        400
+    );
+    assert_eq!(ask("POST /render HTTP/1.1\r\nContent-Length: 70000\r\n\r\n"), 413);
+    assert_eq!(ask(&format!("GET /-/ready HTTP/1.1\r\nX-Long: {}", "x".repeat(http::MOST_HEAD))), 431);
+    assert_eq!(ask("POST /v1/job-events HTTP/1.1\r\nContent-Length: 4\r\n\r\nnone"), 400);
+    assert_eq!(bed.call("unknown", 0, r#""state":"done","result":"x""#), 200);
+    let (mut first, mut second) = (Peer::to(bed.node), Peer::to(bed.node));
+    first.submit("held");
+    Peer::accept(&bed.workers[0]).request();
+    second.submit("held");
+    assert_eq!(second.response().status, 409);
+    drop((first, second));
+    bed.stop();
+}
+
+/// Guards against losing what was taken when the node is told to stop: it still accepts and serves, says so
+/// with `Connection: close`, and ends by itself once nothing is held.
+#[test]
+fn told_to_stop_it_serves_what_it_holds_and_what_still_comes() {
+    let mut bed = Bed::new(1, 256);
+    let mut agent = Peer::to(bed.node);
+    agent.submit("one");
+    let mut worker = Peer::accept(&bed.workers[0]);
+    worker.request();
+    worker.write(ACCEPTED);
+    let mut half = Peer::to(bed.node);
+    half.write("POST /render HTTP/1.1\r\nX-Request-Id: two\r\nContent-Le");
+    bed.stop.write_all(b"x").expect("a signal");
+    // A check that no longer says ready shows that the signal has been seen.
+    while Peer::to(bed.node).ask("GET /-/ready HTTP/1.1\r\n\r\n") == 200 {}
+    half.write("ngth: 0\r\n\r\n");
+    worker.request();
+    worker.write(ACCEPTED);
+    for (id, agent) in [("one", &mut agent), ("two", &mut half)] {
+        assert_eq!(bed.call(id, 0, r#""state":"done","result":"r""#), 200);
+        let answer = agent.response();
+        assert_eq!((answer.status, answer.headers.get("connection")), (200, Some("close")));
+        assert!(agent.ended());
+    }
+    drop((agent, half));
+    bed.thread.join().expect("the node ends");
+}
+
+/// Guards against a watch that is not renewed at once, a change applied to another list than the one held,
+/// a drained worker that is still sent to, and a failed call after which nobody asks again.
+#[test]
+fn the_farm_is_watched() {
+    let bed = Bed::new(2, 256);
+    let address = |n: usize| bed.workers[n].local_addr().expect("an address");
+    let list = |peer: &mut Peer, text: String| {
+        peer.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()));
+    };
+    let mut discovery = Peer::accept(&bed.discovery);
+    assert!(discovery.request().target.starts_with("/api/targets?since=41&"));
+    list(&mut discovery, r#"{"revision":7,"complete":false,"members":[]}"#.into());
+    assert_eq!(discovery.request().target, "/api/targets", "a stale revision needs the whole list");
+    let members = [member(0, address(0), "terminating"), member(1, address(1), "in_service")].join(",");
+    list(&mut discovery, format!(r#"{{"revision":8,"complete":true,"members":[{members}]}}"#));
+    assert_eq!(discovery.request().target, "/api/targets?since=8&timeout_ms=20000");
+    for n in 0..4 {
+        let mut agent = Peer::to(bed.node);
+        agent.submit(&format!("job-{n}"));
+        // Its worker must not end first: the job would be sent again.
+        let mut worker = Peer::accept(&bed.workers[1]);
+        worker.request();
+        drop(agent);
+        assert!(worker.ended());
+    }
+    bed.workers[0].set_nonblocking(true).expect("a setting");
+    assert!(bed.workers[0].accept().is_err(), "nothing goes to a worker that drains");
+    discovery.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    let mut again = Peer::accept(&bed.discovery);
+    assert!(again.request().target.starts_with("/api/targets?since=8&"));
+    drop(again);
+    Peer::accept(&bed.discovery).request();
+    bed.stop();
+}
+
+/// Guards against running out of descriptors: many idle connections give way to a new request.
+#[test]
+fn idle_connections_make_room_for_new_ones() {
+    let bed = Bed::new(1, 60);
+    let mut idle: Vec<Peer> = (0..80).map(|_| Peer::to(bed.node)).collect();
+    assert_eq!(Peer::to(bed.node).ask("GET /-/ready HTTP/1.1\r\n\r\n"), 200);
+    assert!(idle[0].ended(), "the one that lay idle longest is closed");
+    assert_eq!(idle[79].ask("GET /-/ready HTTP/1.1\r\n\r\n"), 200);
+    drop(idle);
+    bed.stop();
+}
+
+/// Guards against a worker that can't be reached holding a job: what never ran goes elsewhere.
+#[test]
+fn a_refused_connection_sends_the_job_elsewhere() {
+    // Nothing listens at port 1.
+    let bed = Bed::listing(1, 256, &[SocketAddr::from(([127, 0, 0, 1], 1))]);
+    for n in 0..8 {
+        let mut agent = Peer::to(bed.node);
+        agent.submit(&format!("job-{n}"));
+        let mut worker = Peer::accept(&bed.workers[0]);
+        assert_eq!(worker.request().body, b"body");
+        drop(agent);
+        assert!(worker.ended());
+    }
+    bed.stop();
+}
--- /dev/null
+++ b/tests/transaction.rs
@@ -0,0 +1,225 @@
+//! The hub without sockets: one final answer, one outcome for each send, call-backs in any order.
+
+use postproxy::net::transaction::{
+    Answer, Command, Due, Hub, Input, JobCall, JobState, Load, Member, PassEnd, PassId, Payload, Submission,
+};
+use postproxy::{Entry, ListKind, Settings};
+
+const SETTINGS: &str = r#"{
+    "balancers": 1, "tick": 0.002, "discovery": "on_request",
+    "services": [{"name": "render", "effect": "pure", "aim": 1.0, "deadline": 5.0},
+                 {"name": "commit", "effect": "side_effect", "aim": 1.0, "deadline": 5.0}],
+    "limits": {"cancel": true, "max-attempts": 3, "retry-after": true, "max-retry-after": 2.0},
+    "report": {"fields": ["backlog", "errors_per_s", "outstanding", "x0"], "via": "answers"},
+    "extra": {"report-x0": "free slots"}}"#;
+
+struct Bed {
+    hub: Hub,
+    now: f64,
+    timers: Vec<(f64, Due)>,
+}
+
+impl Bed {
+    fn new(workers: u16) -> Self {
+        let hub = Hub::new(Settings::from_json(SETTINGS).expect("sound settings"), 7).expect("a hub");
+        let mut bed = Self { hub, now: 1000.0, timers: Vec::new() };
+        let member = |n: u16| Member {
+            id: format!("s-{n}"),
+            address: ([127, 0, 0, 1], 9000 + n).into(),
+            entry: Entry { size: 1.0, ..Entry::default() },
+        };
+        bed.tell(Input::Farm(ListKind::Full, (0..workers).map(member).collect()));
+        bed
+    }
+
+    /// The commands that follow, timers apart.
+    fn tell(&mut self, input: Input) -> Vec<Command> {
+        let mut out = Vec::new();
+        self.hub.handle(self.now, input, &mut out);
+        let (timers, rest) = out.into_iter().partition(|c| matches!(c, Command::Timer(..)));
+        let timers: Vec<Command> = timers;
+        self.timers.extend(timers.into_iter().filter_map(|c| match c {
+            Command::Timer(at, due) => Some((at, due)),
+            _ => None,
+        }));
+        rest
+    }
+
+    /// Plays the timers up to a time.
+    fn play(&mut self, until: f64) -> Vec<Command> {
+        let mut all = Vec::new();
+        loop {
+            let next = self.timers.iter().enumerate().min_by(|a, b| a.1.0.total_cmp(&b.1.0));
+            let Some((i, &(at, due))) = next.filter(|(_, (at, _))| *at <= until) else { break };
+            self.timers.remove(i);
+            self.now = self.now.max(at);
+            all.extend(self.tell(Input::Due(due)));
+        }
+        self.now = until;
+        all
+    }
+
+    fn submit(&mut self, id: &str, class: u8) -> Vec<Command> {
+        let payload = Payload { id: id.into(), method: "POST".into(), ..Payload::default() };
+        self.tell(Input::Arrived(1, Submission { payload, class, ..Submission::default() }))
+    }
+
+    /// Submits, and has the pass written and accepted; the pass and its worker's name.
+    fn accepted(&mut self, id: &str, class: u8) -> (PassId, String) {
+        let (pass, from) = start(&self.submit(id, class)).expect("a pass");
+        assert!(self.tell(Input::Written(pass)).is_empty());
+        assert!(self.tell(Input::Pass(pass, PassEnd::Accepted, Load::new())).is_empty());
+        (pass, from)
+    }
+
+    fn call(&mut self, id: &str, from: &str, state: JobState) -> Vec<Command> {
+        self.tell(Input::Call(JobCall { id: id.into(), from: from.into(), state, load: Load::new() }))
+    }
+}
+
+fn start(commands: &[Command]) -> Option<(PassId, String)> {
+    commands.iter().find_map(|c| match c {
+        Command::Start(pass, worker, ..) => Some((*pass, format!("s-{}", worker.port() - 9000))),
+        _ => None,
+    })
+}
+
+fn answers<'a>(commands: &'a [Command]) -> Vec<&'a Answer> {
+    let answer = |c: &'a Command| if let Command::Answer(_, answer) = c { Some(answer) } else { None };
+    commands.iter().filter_map(answer).collect()
+}
+
+/// Guards against a second final answer, and against call-backs that change what has ended.
+#[test]
+fn a_result_is_given_once() {
+    let mut bed = Bed::new(2);
+    let (_, from) = bed.accepted("a", 0);
+    assert!(bed.call("a", "s-unknown", JobState::Done(b"x".into())).is_empty());
+    assert!(bed.call("unknown", &from, JobState::Done(b"x".into())).is_empty());
+    assert!(bed.call("a", &from, JobState::Running(0.4)).is_empty());
+    let done = bed.call("a", &from, JobState::Done(b"result".into()));
+    assert_eq!(answers(&done), [&Answer::Served(b"result".into())]);
+    assert!(bed.call("a", &from, JobState::Done(b"result".into())).is_empty());
+    assert!(bed.call("a", &from, JobState::Lost).is_empty());
+    assert_eq!(bed.hub.held(), 0);
+    assert!(bed.play(1010.0).is_empty(), "no timer of the past may answer again");
+}
+
+/// Guards against losing a call-back that comes before the 202, and against the 202 reviving its attempt.
+#[test]
+fn a_call_may_come_before_the_202() {
+    let mut bed = Bed::new(1);
+    let (pass, from) = start(&bed.submit("a", 0)).expect("a pass");
+    bed.tell(Input::Written(pass));
+    assert_eq!(answers(&bed.call("a", &from, JobState::Done(b"r".into()))), [&Answer::Served(b"r".into())]);
+    assert!(bed.tell(Input::Pass(pass, PassEnd::Accepted, Load::new())).is_empty());
+    assert_eq!(bed.hub.held(), 0);
+}
+
+/// Guards against taking a repeated call for news of the next attempt at the same worker.
+#[test]
+fn a_repeated_call_does_not_end_the_next_attempt() {
+    let mut bed = Bed::new(1);
+    let (_, from) = bed.accepted("a", 0);
+    let mut again = bed.call("a", &from, JobState::Returned);
+    again.extend(bed.play(1001.0));
+    let (pass, _) = start(&again).expect("what never ran is sent again");
+    assert!(bed.call("a", &from, JobState::Returned).is_empty());
+    bed.tell(Input::Written(pass));
+    assert_eq!(answers(&bed.call("a", &from, JobState::Done(b"r".into()))).len(), 1);
+}
+
+/// Guards against sending again what may have run; only PROTOCOL's cases prove that nothing has.
+#[test]
+fn only_what_never_ran_is_sent_again() {
+    let cases = [
+        (PassEnd::NeverSent, false, true),
+        (PassEnd::NotRun, true, true),
+        (PassEnd::Reset, true, false),
+        (PassEnd::Error, true, false),
+        (PassEnd::NeverSent, true, false),
+    ];
+    for (end, written, again) in cases {
+        let mut bed = Bed::new(3);
+        let (pass, _) = start(&bed.submit("a", 1)).expect("a pass");
+        if written {
+            bed.tell(Input::Written(pass));
+        }
+        let mut after = bed.tell(Input::Pass(pass, end, Load::new()));
+        after.extend(bed.play(1006.0));
+        assert_eq!(start(&after).is_some(), again, "{end:?}");
+        assert_eq!(answers(&after), [&Answer::Failed], "{end:?}");
+        assert_eq!(bed.hub.held(), 0);
+    }
+}
+
+/// Guards against a broken connection deciding on a job that its worker has taken.
+#[test]
+fn after_the_202_a_broken_connection_decides_nothing() {
+    let mut bed = Bed::new(2);
+    let (pass, from) = bed.accepted("a", 0);
+    assert!(bed.tell(Input::Pass(pass, PassEnd::Reset, Load::new())).is_empty());
+    assert_eq!(answers(&bed.call("a", &from, JobState::Done(b"r".into()))).len(), 1);
+}
+
+/// Guards against work that goes on for nobody: the worker is told, by a message only after its 202.
+#[test]
+fn a_user_agent_that_leaves_has_its_pass_given_up() {
+    for taken in [false, true] {
+        let mut bed = Bed::new(1);
+        let (pass, _) = start(&bed.submit("a", 0)).expect("a pass");
+        if taken {
+            bed.tell(Input::Pass(pass, PassEnd::Accepted, Load::new()));
+        }
+        let left = bed.tell(Input::Left(1));
+        assert!(matches!(left[..], [Command::Abandon(p, _, _, t)] if (p, t) == (pass, taken)), "{left:?}");
+        assert_eq!(bed.hub.held(), 0);
+        assert!(bed.play(1010.0).is_empty());
+    }
+}
+
+/// Guards against silence: without any worker the unavailable answer comes before the deadline, with advice.
+#[test]
+fn without_workers_the_answer_is_unavailable_in_time() {
+    let mut bed = Bed::new(0);
+    assert!(bed.submit("a", 0).is_empty());
+    let all = bed.play(1005.0);
+    assert!(matches!(answers(&all)[..], [Answer::Unavailable(after)] if *after > 0.0), "{all:?}");
+    assert_eq!(bed.hub.held(), 0);
+}
+
+/// Guards against an attempt without end: a time-out of 0 is the user agent's deadline, and is followed by
+/// the final answer; the worker is told.
+#[test]
+fn an_attempt_that_stays_silent_ends_at_the_deadline() {
+    let mut bed = Bed::new(1);
+    bed.accepted("a", 1);
+    let all = bed.play(1005.01);
+    assert_eq!(answers(&all), [&Answer::Failed]);
+    assert!(all.iter().any(|c| matches!(c, Command::Abandon(_, _, _, true))), "{all:?}");
+    assert_eq!(bed.hub.held(), 0);
+}
+
+/// Guards against two transactions of one id, whose call-backs could not be told apart.
+#[test]
+fn an_id_that_is_held_is_not_taken_twice() {
+    let mut bed = Bed::new(1);
+    bed.accepted("a", 0);
+    let payload = Payload { id: "a".into(), ..Payload::default() };
+    let twice = bed.tell(Input::Arrived(2, Submission { payload, ..Submission::default() }));
+    assert_eq!(answers(&twice), [&Answer::Held]);
+    assert_eq!(bed.hub.held(), 1);
+}
+
+/// Guards against load figures that are taken for others, and against an absent one that reads as 0.
+#[test]
+fn load_reports_are_joined_by_name() {
+    let bed = Bed::new(1);
+    let load = |pairs: &[(&str, f64)]| -> Load { pairs.iter().map(|(n, v)| ((*n).to_owned(), *v)).collect() };
+    let report = bed.hub.report(&load(&[("x0", 3.0), ("inflight", 7.0), ("queue", 2.0)]));
+    assert_eq!((report[0], report[2], report[3]), (2.0, 7.0, 3.0));
+    assert!(report[1].is_nan());
+    let report = bed.hub.report(&load(&[("backlog", 1.0), ("errors_per_s", 0.5), ("outstanding", 4.0)]));
+    assert_eq!(report[..3], [1.0, 0.5, 4.0]);
+    assert!(bed.hub.report(&load(&[("cpu", 1.0)])).is_empty());
+}
