--- a/src/main.rs
+++ b/src/main.rs
@@ -21,7 +21,10 @@
     signal_hook::low_level::pipe::register(SIGINT, signal.try_clone()?)?;
     signal_hook::low_level::pipe::register(SIGTERM, signal)?;
     let config = Config::from_env()?;
-    eprintln!("postproxy {}: listening on {}", config.name, config.listen);
-    Node::new(config, stop)?.run()?;
+    let name = config.name.clone();
+    let mut node = Node::new(config, stop)?;
+    eprintln!("postproxy {name}: listening on {}", node.address());
+    node.run()?;
+    eprintln!("postproxy {name}: stopped");
     Ok(())
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -17,6 +17,8 @@
     pub seed: u64,
     /// How many descriptors it may hold.
     pub sockets: usize,
+    /// How much memory it may use, in MiB.
+    pub memory_mb: usize,
     /// The farm's list as it was last held.
     pub known: Option<List>,
     /// The settings.
@@ -43,11 +45,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { sockets: 1024 }
+        Self { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -83,6 +86,7 @@
             name: variable("RELAY_NAME").unwrap_or(raw.name),
             seed,
             sockets: raw.limits.sockets,
+            memory_mb: raw.limits.memory_mb,
             known: raw.known,
             settings: Settings::from_json(&raw.settings.to_string()).map_err(|e| e.to_string())?,
         })
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -2,6 +2,7 @@
 
 use super::config::Config;
 use super::farm::Farm;
+use super::http;
 use super::proxy_pass::ProxyPasses;
 use super::transaction::{self, Command, Hub, Input};
 use super::user_agent::UserAgents;
@@ -197,7 +198,9 @@
         let listener = listen(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
         let address = listener.local_addr()?;
         let sockets = config.sockets.saturating_sub(SPARE).max(16);
-        let mut agent_most = sockets * 5 / 8;
+        // Half the memory holds a head and bodies for each user agent: read, passed on, and answered.
+        let memory = (config.memory_mb << 20) / 2 / (http::MOST_HEAD + 2 * http::MOST_BODY);
+        let mut agent_most = (sockets * 5 / 8).min(memory.max(8));
         if settings.max_open > 0 {
             agent_most = agent_most.min(settings.max_open);
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -122,7 +122,7 @@
             "known":{{"revision":41,"complete":true,"members":[{}]}},
             "settings":{{"balancers":1,"tick":0.002,"discovery":"on_request","dcs":["riga"],"machine-types":["m2"],
                 "services":[{{"name":"render","effect":"pure","aim":1.0,"late-value":1.0,"deadline":20.0}}],
-                "limits":{{"cancel":true,"max-attempts":3,"conn-idle":60.0,"dial-timeout":5.0}},
+                "limits":{{"cancel":true,"max-attempts":3,"conn-idle":60.0,"dial-timeout":0.25}},
                 "rules":{{"must-ask-in":0.2}},"report":{{"fields":["backlog"],"via":"answers"}}}}}}"#,
             at(&discovery),
             members.join(",")
@@ -326,7 +326,11 @@
     let mut again = Peer::accept(&bed.discovery);
     assert!(again.request().target.starts_with("/api/targets?since=8&"));
     drop(again);
-    Peer::accept(&bed.discovery).request();
+    // This one stays silent until the call has had its time, which is 2.5 s.
+    let mut silent = Peer::accept(&bed.discovery);
+    silent.request();
+    assert!(silent.ended());
+    assert!(Peer::accept(&bed.discovery).request().target.starts_with("/api/targets?since=8&"));
     bed.stop();
 }
 
@@ -357,3 +361,27 @@
     }
     bed.stop();
 }
+
+/// Guards against waiting for a machine that is cut off: `dial-timeout` ends the dial, and nothing has run.
+#[test]
+fn a_connection_that_never_comes_up_sends_the_job_elsewhere() {
+    // A listener whose queue is full drops what else arrives, as a machine that has vanished does.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    socket.listen(0).expect("it listens");
+    let vanished = socket.local_addr().expect("an address").as_socket().expect("of IPv4");
+    let filler: Vec<TcpStream> = (0..8)
+        .map_while(|_| TcpStream::connect_timeout(&vanished, Duration::from_millis(200)).ok())
+        .collect();
+    assert!(filler.len() < 8, "the queue never filled");
+    let bed = Bed::listing(1, 256, &[vanished]);
+    for n in 0..6 {
+        let mut agent = Peer::to(bed.node);
+        agent.submit(&format!("job-{n}"));
+        let mut worker = Peer::accept(&bed.workers[0]);
+        assert_eq!(worker.request().body, b"body");
+        drop(agent);
+        assert!(worker.ended());
+    }
+    bed.stop();
+}
--- /dev/null
+++ b/tests/program.rs
@@ -0,0 +1,95 @@
+//! The node's program: its start, its end, and its words on a configuration that is none.
+
+use postproxy::net::Config;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::process::{Command, Stdio};
+
+const EXAMPLE: &str = include_str!("../examples/config.json");
+
+fn none(_: &str) -> Option<String> {
+    None
+}
+
+/// Guards against an example that the program does not take, and against names lost on the way.
+#[test]
+fn the_example_is_a_configuration() {
+    let config = Config::from_json(EXAMPLE, none).expect("a configuration");
+    assert_eq!((config.name.as_str(), config.seed, config.sockets), ("n0", 0x8c1f_30d2_7a5b_e964, 1024));
+    let settings = config.settings;
+    let classes: Vec<&str> = settings.classes.iter().map(|class| class.name.as_str()).collect();
+    assert_eq!(classes, ["reroute", "day-plan"]);
+    assert_eq!(
+        (settings.zone_names.join(","), settings.kind_names.join(",")),
+        ("riga".into(), "std-4".into())
+    );
+    assert_eq!((settings.tenant_names.join(","), settings.conn_idle), ("baltvedums".into(), 5.0));
+    assert_eq!(settings.field_names, ["backlog", "errors_per_s", "x0"]);
+    assert_eq!(config.known.map(|list| list.revision), Some(1));
+}
+
+/// Guards against the environment being passed over.
+#[test]
+fn the_environment_goes_before_the_file() {
+    let set = |name: &str| (name == "RELAY_LISTEN").then(|| "127.0.0.9:81".to_owned());
+    let config = Config::from_json(EXAMPLE, set).expect("a configuration");
+    assert_eq!(config.listen.to_string(), "127.0.0.9:81");
+    assert_eq!(config.discovery.to_string(), "127.0.0.1:8500");
+}
+
+/// Guards against a start with a wrong or half configuration, or a message that names nothing.
+#[test]
+fn a_bad_configuration_is_named() {
+    let cases = [
+        ("\"listen\": \"127.0.0.1:8080\"", "\"listen\": \"here\"", "RELAY_LISTEN"),
+        ("8c1f30d27a5be964", "seven", "seed"),
+        ("\"max-attempts\": 3", "\"max-attempts\": 0", "max-attempts"),
+        ("\"deadline\": 6.0", "\"deadline\": \"long\"", "string"),
+        ("{", "", "expected"),
+    ];
+    for (old, new, word) in cases {
+        let text = EXAMPLE.replacen(old, new, 1);
+        assert_ne!(text, EXAMPLE);
+        let message = Config::from_json(&text, none).err().expect("an error");
+        assert!(message.contains(word), "{message}");
+    }
+}
+
+/// Guards against a program that hangs or panics without its configuration.
+#[test]
+fn without_a_configuration_the_program_ends() {
+    let output = Command::new(env!("CARGO_BIN_EXE_postproxy")).env_remove("RELAY_CONFIG").output();
+    let output = output.expect("the program starts");
+    assert!(!output.status.success());
+    assert_eq!(
+        String::from_utf8_lossy(&output.stderr).trim(),
+        "postproxy: RELAY_CONFIG names no configuration file"
+    );
+}
+
+/// Guards against a SIGTERM that kills the node instead of ending it in good order.
+#[test]
+fn the_program_serves_and_ends_at_sigterm() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_postproxy"))
+        .env("RELAY_CONFIG", concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json"))
+        .env("RELAY_LISTEN", "127.0.0.1:0")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
+    let mut line = String::new();
+    log.read_line(&mut line).expect("a first line");
+    let address = line.trim().rsplit(' ').next().expect("an address");
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.write_all(b"GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n").expect("it is written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    drop(stream);
+    let signal = Command::new("sh").args(["-c", &format!("kill -TERM {}", child.id())]).status();
+    assert!(signal.expect("a shell").success());
+    assert!(child.wait().expect("it ends").success());
+    line.clear();
+    log.read_line(&mut line).expect("a last line");
+    assert_eq!(line.trim(), "postproxy n0: stopped");
+}
