Wait for 0.2 s of quiet before a stopping node ends, and test the parsers

By reading: wind_up() dropped the listener as soon as the last connection had ended, so a request that crossed the end of an idle connection had nowhere to be sent again. The node now ends after ten quiet looks, 20 ms apart, and listens until then.

An embedding example runs as a doctest.

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -22,6 +22,9 @@
 const ACCEPT_WINDOW: f64 = 0.6;
 /// How often it is looked whether all has been answered after that.
 const LOOK: f64 = 0.02;
+/// So many looks in a row find nothing before the node ends: a user agent whose request crossed the end of its
+/// connection sends it again on a new one.
+const QUIET: u32 = 10;
 /// Descriptors kept for what is no connection.
 const SPARE: usize = 24;
 
@@ -180,6 +183,8 @@
     stop_key: usize,
     address: SocketAddr,
     stopping: bool,
+    /// Looks in a row that found nothing owed.
+    quiet: u32,
     /// Nothing is owed any more.
     done: bool,
 }
@@ -214,8 +219,8 @@
         stop.set_nonblocking(true)?;
         let stop_key = reactor.register(&stop, Owner::Stop)?;
         reactor.rearm(&stop, stop_key, (true, false));
-        let (stopping, done) = (false, false);
-        Ok(Self { clock, reactor, hub, agents, passes, farm, stop, stop_key, address, stopping, done })
+        let (stopping, quiet, done) = (false, 0, false);
+        Ok(Self { clock, reactor, hub, agents, passes, farm, stop, stop_key, address, stopping, quiet, done })
     }
 
     /// Where it listens.
@@ -274,7 +279,9 @@
             Due::Farm(call) => self.farm.due(reactor, call),
             Due::FarmDial(call) => self.farm.dial_due(reactor, call),
             Due::WindUp => {
-                self.done = self.agents.wind_up(reactor) && self.hub.held() == 0;
+                let quiet = self.agents.wind_up(reactor) && self.hub.held() == 0;
+                self.quiet = if quiet { self.quiet + 1 } else { 0 };
+                self.done = self.quiet >= QUIET;
                 reactor.timer(reactor.now + LOOK, Due::WindUp);
             }
         }
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -227,3 +227,31 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a start that is lost in the change of clocks (0 stays 0), names joined to wrong numbers,
+    /// and an entry that can't be read taking the others with it or being sent to.
+    #[test]
+    fn members_are_joined_by_name() {
+        let settings = r#"{"dcs": ["riga", "liepaja"], "machine-types": ["std-4", "eco-4"]}"#;
+        let settings = Settings::from_json(settings).expect("sound settings");
+        let text = br#"{"revision": 3, "complete": true, "members": [
+            {"id": "a", "host_port": "10.0.0.1:80", "locality": "liepaja", "flavor": "eco-4", "cell": 7, "phase": "in_service", "size": 1.5, "up_since_ms": 0},
+            {"id": "b", "host_port": "nowhere", "phase": "in_service"},
+            {"id": "c", "host_port": "10.0.0.3:80", "locality": "mars", "phase": "terminating", "up_since_ms": 1764586800250},
+            {"id": "d", "host_port": "10.0.0.4:80", "phase": "new-word", "more": [1]},
+            {"id": "e", "host_port": "10.0.0.5:80", "phase": "terminated"}]}"#;
+        let members = List::from_json(text).expect("a list").members(&settings);
+        let ids: Vec<&str> = members.iter().map(|m| m.id.as_str()).collect();
+        assert_eq!(ids, ["a", "c", "d", "e"]);
+        let entry = |n: usize| &members[n].entry;
+        assert_eq!((entry(0).zone, entry(0).kind, entry(0).cell, entry(0).size), (1, 1, 7, 1.5));
+        assert_eq!((entry(0).started, entry(1).started), (0.0, 1_764_586_800.25));
+        assert_eq!((entry(1).zone, entry(1).kind), (u8::MAX, u16::MAX));
+        let health: Vec<Health> = members.iter().map(|m| m.entry.health).collect();
+        assert_eq!(health, [Health::Ready, Health::Draining, Health::Draining, Health::Gone]);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,23 @@
 //!
 //! [`Node`] runs one loop. User agents' requests become transactions in the hub ([`transaction`]), which
 //! asks the [`crate::Dispatcher`] and has proxy passes started; news of the farm come from a watch.
+//!
+//! A node runs in the thread that calls it, until a byte comes on the stream that it was given:
+//!
+//! ```
+//! use postproxy::net::{Config, Node};
+//! use std::io::Write;
+//! use std::os::unix::net::UnixStream;
+//!
+//! let text = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:8500", "seed": "1f",
+//!                "settings": {"services": [{"name": "render", "effect": "pure"}]}}"#;
+//! let (mut stop, signal) = UnixStream::pair()?;
+//! let mut node = Node::new(Config::from_json(text, |_| None)?, signal)?;
+//! println!("listening on {}", node.address());
+//! stop.write_all(b"x")?;
+//! node.run()?;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
 pub mod config;
 pub mod connection;
--- a/src/net/proxy_pass.rs
+++ b/src/net/proxy_pass.rs
@@ -303,4 +303,13 @@
         let names: Vec<_> = load.iter().map(|(name, value)| (name.as_str(), *value)).collect();
         assert_eq!(names, [("inflight", 7.0), ("queue", 2.0), ("util", 0.61)]);
     }
+
+    /// Guards against keeping a connection until its worker may be closing it.
+    #[test]
+    fn idle_connections_are_given_up_well_before_their_workers_do() {
+        for idle in [0.5, 5.0, 60.0] {
+            assert!(ProxyPasses::new(8, 0.25, idle).keep <= 0.9 * idle);
+        }
+        assert!(ProxyPasses::new(8, 0.25, 0.0).keep <= 1.0, "not told: not for long");
+    }
 }
--- a/src/net/transaction.rs
+++ b/src/net/transaction.rs
@@ -283,18 +283,18 @@
                 }
             }
             Input::Written(pass) => {
-                if let Some((_, a)) = self.attempt(pass) {
+                if let Some(a) = self.attempt(pass) {
                     a.written = true;
                 }
             }
             Input::Pass(pass, PassEnd::Accepted, _) => {
-                if let Some((_, a)) = self.attempt(pass) {
+                if let Some(a) = self.attempt(pass) {
                     (a.written, a.accepted) = (true, true);
                 }
             }
             Input::Pass(pass, end, load) => {
                 let Some(&(request, attempt)) = self.passes.get(&pass) else { return };
-                let Some((_, a)) = self.attempt(pass).filter(|(_, a)| !a.accepted) else { return };
+                let Some(a) = self.attempt(pass).filter(|a| !a.accepted) else { return };
                 let outcome = match end {
                     PassEnd::NotRun => Outcome::Full,
                     PassEnd::NeverSent if !a.written => Outcome::ConnectFailed,
@@ -348,10 +348,9 @@
     }
 
     /// The attempt of a proxy pass that has not ended.
-    fn attempt(&mut self, pass: PassId) -> Option<(RequestId, &mut Attempt)> {
+    fn attempt(&mut self, pass: PassId) -> Option<&mut Attempt> {
         let &(request, attempt) = self.passes.get(&pass)?;
-        let a = self.transactions.get_mut(&request)?.attempts.get_mut(attempt as usize)?;
-        Some((request, a)).filter(|(_, a)| !a.ended)
+        self.transactions.get_mut(&request)?.attempts.get_mut(attempt as usize).filter(|a| !a.ended)
     }
 
     fn call(&mut self, now: f64, call: JobCall, out: &mut Vec<Command>) {
--- a/src/net/user_agent.rs
+++ b/src/net/user_agent.rs
@@ -65,7 +65,7 @@
 
 /// All connections that user agents and workers have opened.
 pub struct UserAgents {
-    listener: Option<TcpListener>,
+    listener: TcpListener,
     listener_key: usize,
     sessions: HashMap<usize, Session>,
     settings: Settings,
@@ -315,7 +315,7 @@
     ) -> io::Result<Self> {
         let listener_key = reactor.register(&listener, Owner::Agent)?;
         reactor.rearm(&listener, listener_key, (true, false));
-        let (listener, sessions) = (Some(listener), HashMap::new());
+        let sessions = HashMap::new();
         Ok(Self {
             listener,
             listener_key,
@@ -369,7 +369,7 @@
         self.stopping = true;
     }
 
-    /// Stops listening and closes what lies idle; whether nothing is left that is owed an answer.
+    /// Accepts what has come and closes what lies idle; whether nothing is left that is owed an answer.
     pub fn wind_up(&mut self, reactor: &mut Reactor) -> bool {
         self.accept(reactor);
         let keys: Vec<usize> = self.sessions.keys().copied().collect();
@@ -386,11 +386,6 @@
                 }
             });
         }
-        if self.sessions.is_empty() {
-            if let Some(listener) = self.listener.take() {
-                reactor.forget(&listener);
-            }
-        }
         self.sessions.is_empty()
     }
 
@@ -429,8 +424,7 @@
                 self.paused = true;
                 return;
             }
-            let Some(listener) = &self.listener else { return };
-            match listener.accept() {
+            match self.listener.accept() {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
                     let key =
@@ -454,9 +448,7 @@
             }
         }
         self.paused = false;
-        if let Some(listener) = &self.listener {
-            reactor.rearm(listener, self.listener_key, (true, false));
-        }
+        reactor.rearm(&self.listener, self.listener_key, (true, false));
     }
 
     /// Ends the connection that has lain idle for longest.
@@ -477,3 +469,68 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Request {
+        match http::read_request(text.as_bytes()) {
+            Ok(Read::Whole(request, _)) => request,
+            other => panic!("no request: {other:?}"),
+        }
+    }
+
+    /// Guards against a job's figures getting lost or taken for others on their way to the module.
+    #[test]
+    fn a_submission_holds_what_the_request_says() {
+        let settings = r#"{"services": [{"name": "reroute"}, {"name": "day-plan"}]}"#;
+        let settings = Settings::from_json(settings).expect("sound settings");
+        let request = read(
+            "POST /day-plan/x?y=z HTTP/1.1\r\nX-Request-Id: 9b1f\r\nX-Tenant: acme\r\nX-Deadline: 0.480\r\n\
+             Cookie: a=b; k=7f3a9c21e0b4d655\r\nIdempotency-Key: 5c0f\r\nX-Retry: 1\r\nX-Cost-Hint: 250000\r\n\
+             X-Extras: slots=2,memory=0.5\r\nContent-Length: 2\r\n\r\nhi",
+        );
+        let payload = Payload {
+            id: "9b1f".into(),
+            method: "POST".into(),
+            target: "/day-plan/x?y=z".into(),
+            idempotency_key: Some("5c0f".into()),
+            body: b"hi".to_vec(),
+        };
+        let submission = Submission {
+            payload,
+            class: 1,
+            tenant: Some("acme".into()),
+            key: 0x7f3a_9c21_e0b4_d655,
+            budget: Some(0.48),
+            hint: Some(0.25),
+            slots: Some(2.0),
+            memory: Some(0.5),
+            repeat: true,
+        };
+        assert_eq!(wanted(request, &settings, false), Wanted::Transaction(Box::new(submission)));
+        let bare = read("POST /reroute HTTP/1.1\r\nX-Request-Id: a\r\nX-Cost-Hint: much\r\n\r\n");
+        let Wanted::Transaction(bare) = wanted(bare, &settings, false) else { panic!("no transaction") };
+        assert_eq!((bare.key, bare.budget, bare.hint, bare.slots, bare.repeat), (0, None, None, None, false));
+    }
+
+    /// Guards against a call-back that is misread; an unknown state changes nothing.
+    #[test]
+    fn a_call_back_holds_what_the_worker_says() {
+        let load = r#"{"id":"9b1f","from":"s-1","state":"running","share":0.4,"load":{"queue":2,"x0":1.5,"odd":"x"}}"#;
+        let read = call(load.as_bytes()).expect("a call-back");
+        assert_eq!(
+            (read.id.as_str(), read.from.as_str(), read.state),
+            ("9b1f", "s-1", JobState::Running(0.4))
+        );
+        assert_eq!(read.load, [("queue".to_owned(), 2.0), ("x0".to_owned(), 1.5)]);
+        let state = |text: &str| call(text.as_bytes()).map(|call| call.state);
+        assert_eq!(
+            state(r#"{"id":"a","from":"b","state":"done","result":"r"}"#),
+            Some(JobState::Done(b"r".into()))
+        );
+        assert_eq!(state(r#"{"id":"a","from":"b","state":"asleep"}"#), Some(JobState::Unknown));
+        assert_eq!(state(r#"{"id":"a","state":"done"}"#), None);
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -107,11 +107,11 @@
 
 impl Bed {
     fn new(workers: usize, sockets: usize) -> Self {
-        Self::listing(workers, sockets, &[])
+        Self::listing(workers, sockets, &[], 60.0)
     }
 
     /// A node whose list holds these workers and then some that nothing here stands for.
-    fn listing(workers: usize, sockets: usize, others: &[SocketAddr]) -> Self {
+    fn listing(workers: usize, sockets: usize, others: &[SocketAddr], idle: f64) -> Self {
         let workers: Vec<TcpListener> = (0..workers).map(|_| port()).collect();
         let at = |w: &TcpListener| w.local_addr().expect("an address");
         let all = workers.iter().map(at).chain(others.iter().copied());
@@ -122,7 +122,7 @@
             "known":{{"revision":41,"complete":true,"members":[{}]}},
             "settings":{{"balancers":1,"tick":0.002,"discovery":"on_request","dcs":["riga"],"machine-types":["m2"],
                 "services":[{{"name":"render","effect":"pure","aim":1.0,"late-value":1.0,"deadline":20.0}}],
-                "limits":{{"cancel":true,"max-attempts":3,"conn-idle":60.0,"dial-timeout":0.25}},
+                "limits":{{"cancel":true,"max-attempts":3,"conn-idle":{idle},"dial-timeout":0.25}},
                 "rules":{{"must-ask-in":0.2}},"report":{{"fields":["backlog"],"via":"answers"}}}}}}"#,
             at(&discovery),
             members.join(",")
@@ -206,6 +206,22 @@
     bed.stop();
 }
 
+/// Guards against a request that crosses its worker's end of an idle connection: the node ends it first.
+#[test]
+fn a_pooled_connection_is_given_up_before_its_worker_does() {
+    let bed = Bed::listing(1, 256, &[], 1.0);
+    let mut agent = Peer::to(bed.node);
+    agent.submit("one");
+    let mut worker = Peer::accept(&bed.workers[0]);
+    worker.request();
+    let taken = std::time::Instant::now();
+    worker.write(ACCEPTED);
+    assert!(worker.ended());
+    let kept = taken.elapsed();
+    assert!(kept >= Duration::from_millis(500), "given up after {kept:?}, it is hardly used twice");
+    bed.stop();
+}
+
 /// Guards against work that goes on for a user agent that has left: before the 202 its connection is
 /// closed, after it the worker is told by DELETE.
 #[test]
@@ -350,7 +366,7 @@
 #[test]
 fn a_refused_connection_sends_the_job_elsewhere() {
     // Nothing listens at port 1.
-    let bed = Bed::listing(1, 256, &[SocketAddr::from(([127, 0, 0, 1], 1))]);
+    let bed = Bed::listing(1, 256, &[SocketAddr::from(([127, 0, 0, 1], 1))], 60.0);
     for n in 0..8 {
         let mut agent = Peer::to(bed.node);
         agent.submit(&format!("job-{n}"));
@@ -374,7 +390,7 @@
         .map_while(|_| TcpStream::connect_timeout(&vanished, Duration::from_millis(200)).ok())
         .collect();
     assert!(filler.len() < 8, "the queue never filled");
-    let bed = Bed::listing(1, 256, &[vanished]);
+    let bed = Bed::listing(1, 256, &[vanished], 60.0);
     for n in 0..6 {
         let mut agent = Peer::to(bed.node);
         agent.submit(&format!("job-{n}"));
