Give the tests' listeners a time limit

Seen: a test whose job never reached its worker hung in accept() for good, where only reads had a limit.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -96,7 +96,10 @@
 }
 
 fn port() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").expect("a port")
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    // It holds for accepting too: what never comes fails the test and does not hang it.
+    socket2::SockRef::from(&listener).set_read_timeout(Some(LIMIT)).expect("a time limit");
+    listener
 }
 
 fn member(id: usize, at: SocketAddr, phase: &str) -> String {
