Split the reactor from the node; a command line, structured logs, an early first call

Need: five files of src/net imported each other in a circle, subsystems had no place of their own, the program had no commands and logged by eprintln, and a node that started without a worker in its list waited up to 4 s for its turn to call discovery, refusing all jobs meanwhile.

Change: a Cargo workspace with the root package as the node and crates/ for subsystems; reactor below its owners and node above them; postproxy serve, check and completions on clap, without arguments as before; logs on tracing, written by a thread of their own so that the loop never waits for a reader; an operator's file with checks; a node without any worker calls discovery at once and again after 0.1 s in growing, jittered steps.

--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! A small embedded store of records with keys.
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,96 @@
+//! The command line.
+
+mod serve;
+
+use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
+use postproxy::logs::Format;
+use postproxy::net::Config;
+use postproxy::operator::Operator;
+
+/// What a command ends with when it fails.
+pub type Failure = Box<dyn std::error::Error>;
+
+/// Pushes jobs to workers by lottery. Without a command it serves, as RELAY_CONFIG says.
+#[derive(Debug, Parser)]
+#[command(version, about, after_help = "Exit status: 0 done, 1 failed, 2 wrong usage.")]
+pub struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a node until SIGTERM or SIGINT; RELAY_CONFIG names its configuration
+    Serve(Serve),
+    /// Say what is wrong with an operator's file, or that nothing is
+    Check {
+        /// The operator's file
+        file: String,
+        /// A node's configuration to check with it
+        #[arg(long, value_name = "FILE")]
+        config: Option<String>,
+    },
+    /// Print a script that completes this program's words in a shell
+    Completions {
+        /// The shell
+        shell: clap_complete::Shell,
+    },
+}
+
+/// What `serve` takes.
+#[derive(Args, Debug, Default)]
+pub struct Serve {
+    /// The operator's file: which parts of the program are on
+    #[arg(long, value_name = "FILE", env = "POSTPROXY_OPERATOR")]
+    operator: Option<String>,
+    /// How lines of the log look; goes before the operator's file
+    #[arg(long, value_name = "FORMAT")]
+    log_format: Option<LogFormat>,
+    /// Levels by module, such as info,postproxy::net::farm=debug; goes before the operator's file
+    #[arg(long, value_name = "LEVELS")]
+    log_levels: Option<String>,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum LogFormat {
+    /// For people
+    Text,
+    /// An object a line
+    Json,
+}
+
+impl From<LogFormat> for Format {
+    fn from(format: LogFormat) -> Self {
+        match format {
+            LogFormat::Text => Self::Text,
+            LogFormat::Json => Self::Json,
+        }
+    }
+}
+
+/// Does what the command line asks for.
+///
+/// # Errors
+///
+/// In plain words.
+pub fn run(cli: Cli) -> Result<(), Failure> {
+    match cli.command {
+        None => serve::run(Serve::default()),
+        Some(Command::Serve(serve)) => serve::run(serve),
+        Some(Command::Check { file, config }) => check(&file, config.as_deref()),
+        Some(Command::Completions { shell }) => {
+            clap_complete::generate(shell, &mut Cli::command(), "postproxy", &mut std::io::stdout());
+            Ok(())
+        }
+    }
+}
+
+fn check(file: &str, config: Option<&str>) -> Result<(), Failure> {
+    Operator::from_file(file)?;
+    if let Some(path) = config {
+        let text = std::fs::read_to_string(path).map_err(|error| format!("reading {path}: {error}"))?;
+        Config::from_json(&text, |_| None).map_err(|error| format!("{path}: {error}"))?;
+    }
+    println!("{file}: sound");
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,7 +22,9 @@
 #![warn(missing_docs)]
 
 pub mod interface;
+pub mod logs;
 pub mod net;
+pub mod operator;
 pub mod policy;
 pub mod random;
 pub mod settings;
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -1,8 +1,9 @@
 //! The farm: discovery's list of workers and the watch on it.
 
+use super::backoff::Backoff;
 use super::connection::{Callbacks, Connection, State};
-use super::event_loop::{Due, Owner, Reactor};
 use super::http::{self, Read};
+use super::reactor::{self, Due, Owner, Reactor};
 use super::transaction::{Input, Member};
 use crate::interface::{Entry, Health, ListKind, Settings};
 use serde::Deserialize;
@@ -14,6 +15,9 @@
 const WAIT: f64 = 20.0;
 /// How long after that its answer may take: discovery ends a call, or fails it, in 2 s.
 const PATIENCE: f64 = 2.5;
+/// A node without any list calls again after this time at first, and after this one at most.
+const FIRST_AGAIN: f64 = 0.1;
+const MOST_AGAIN: f64 = 2.0;
 
 #[derive(Deserialize)]
 struct RawMember {
@@ -92,6 +96,8 @@
     calling: bool,
     call: u64,
     dial_timeout: f64,
+    /// While no list has been had at all: when to call again.
+    hunger: Option<Backoff>,
 }
 
 /// Collects what one connection tells.
@@ -120,10 +126,25 @@
 }
 
 impl Farm {
-    /// No watch yet; `known` is the version of the list that the node starts with.
-    pub fn new(discovery: SocketAddr, settings: Settings, known: Option<u64>) -> Self {
+    /// No watch yet; `known` is the version of the list that the node starts with, if that names a worker.
+    pub fn new(discovery: SocketAddr, settings: Settings, known: Option<u64>, seed: u64) -> Self {
         let dial_timeout = settings.dial_timeout.max(0.25);
-        Self { discovery, settings, revision: known, session: None, calling: false, call: 0, dial_timeout }
+        let hunger = known.is_none().then(|| Backoff::new(FIRST_AGAIN, MOST_AGAIN, seed));
+        let (revision, session, calling, call) = (known, None, false, 0);
+        Self { discovery, settings, revision, session, calling, call, dial_timeout, hunger }
+    }
+
+    /// A node without a worker has nothing to lose by asking: it does so at once, and until it has been told
+    /// a list it calls again in growing steps.
+    pub fn start(&mut self, reactor: &mut Reactor) {
+        if self.hunger.is_some() {
+            self.watch(reactor);
+        }
+    }
+
+    /// Calls again, where no list has been had yet.
+    pub fn again(&mut self, reactor: &mut Reactor) {
+        self.start(reactor);
     }
 
     /// Starts a watch; one that is out already answers for it.
@@ -156,7 +177,7 @@
         self.calling = true;
         self.call += 1;
         if self.session.is_none() {
-            let dialed = super::event_loop::dial(self.discovery).and_then(|stream| {
+            let dialed = reactor::dial(self.discovery).and_then(|stream| {
                 let key = reactor.register(&stream, Owner::Farm)?;
                 Ok(Session { connection: Connection::new(stream, true, MOST_LIST), key })
             });
@@ -218,6 +239,7 @@
         let stale = !list.complete && self.revision.is_none_or(|held| list.revision < held);
         self.revision = (!stale).then_some(list.revision);
         if !stale {
+            self.hunger = None;
             let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
             reactor.queue.push_back(Input::Farm(kind, list.members(&self.settings)));
         }
@@ -227,6 +249,12 @@
     fn failed(&mut self, reactor: &mut Reactor) {
         self.hang_up(reactor);
         if std::mem::take(&mut self.calling) {
+            if let Some(hunger) = &mut self.hunger {
+                let after = hunger.wait();
+                tracing::debug!(discovery = %self.discovery, again_in_s = after, "no list could be had yet");
+                return reactor.timer(reactor.now + after, Due::FarmAgain);
+            }
+            tracing::warn!(discovery = %self.discovery, "a call to discovery failed");
             reactor.queue.push_back(Input::Farm(ListKind::Failed, Vec::new()));
         }
     }
@@ -242,6 +270,56 @@
 mod tests {
     use super::*;
 
+    /// Guards against a node without a worker that waits for its turn to ask, gives up when discovery is not up
+    /// yet, or calls on after it has been told a list.
+    #[test]
+    fn a_node_without_a_list_asks_until_it_has_one() {
+        use std::io::Write as _;
+        let mut reactor = Reactor::new(1000.0).expect("a reactor");
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = listener.local_addr().expect("an address");
+        drop(listener);
+        let settings = Settings::from_json(r#"{"discovery": "on_request"}"#).expect("sound settings");
+        let mut farm = Farm::new(at, settings, None, 7);
+        farm.start(&mut reactor);
+        let mut waits = Vec::new();
+        for _ in 0..4 {
+            // A refused connection is told by the poller, or at once.
+            if let Some(key) = farm.session.as_ref().map(|s| s.key) {
+                farm.ready(&mut reactor, key, true, true);
+            }
+            assert!(!farm.calling, "it was refused");
+            let asked = reactor.now;
+            while !farm.calling {
+                reactor.now += 0.002;
+                for due in reactor.due() {
+                    match due {
+                        Due::FarmAgain => farm.again(&mut reactor),
+                        Due::Farm(call) => farm.due(&mut reactor, call),
+                        _ => {}
+                    }
+                }
+            }
+            waits.push(reactor.now - asked);
+        }
+        assert!((0.1..0.11).contains(&waits[0]), "{waits:?}");
+        assert!(waits[1] < 0.21 && waits[2] < 0.41 && waits[3] < 0.81, "{waits:?}");
+        assert!(reactor.queue.is_empty(), "the dispatcher has nothing to do with it");
+        farm.failed(&mut reactor);
+        let listener = std::net::TcpListener::bind(at).expect("the port again");
+        farm.again(&mut reactor);
+        let (mut peer, _) = listener.accept().expect("a connection");
+        let body = r#"{"revision":1,"complete":true,"members":[]}"#;
+        write!(peer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+            .expect("it is written");
+        let key = farm.session.as_ref().map(|s| s.key).expect("a connection");
+        farm.ready(&mut reactor, key, true, true);
+        assert!(matches!(reactor.queue.pop_front(), Some(Input::Farm(ListKind::Full, _))));
+        assert!(farm.calling && farm.hunger.is_none(), "a watch, and no more calls of its own");
+        farm.failed(&mut reactor);
+        assert!(matches!(reactor.queue.pop_front(), Some(Input::Farm(ListKind::Failed, _))));
+    }
+
     /// Guards against a start that is lost in the change of clocks (0 stays 0), names joined to wrong numbers,
     /// and an entry that can't be read taking the others with it or being sent to.
     #[test]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,15 +20,17 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+pub mod backoff;
 pub mod config;
 pub mod connection;
-pub mod event_loop;
 pub mod farm;
 pub mod http;
+pub mod node;
 pub mod proxy_pass;
+pub mod reactor;
 pub mod transaction;
 pub mod user_agent;
 pub mod wheel;
 
 pub use config::Config;
-pub use event_loop::Node;
+pub use node::Node;
--- a/src/net/event_loop.rs
+++ b/src/net/node.rs
@@ -1,22 +1,17 @@
-//! The one loop: it waits for sockets, timers and the signal to stop, and hands each on to its owner.
+//! The node: the one loop that waits for sockets, timers and the signal to stop, and hands each to its owner.
 
 use super::config::Config;
 use super::farm::Farm;
 use super::proxy_pass::ProxyPasses;
-use super::transaction::{self, Command, Hub, Input};
+use super::reactor::{self, Clock, Due, Owner, Reactor};
+use super::transaction::{Command, Hub, Input};
 use super::user_agent::{self, UserAgents};
-use super::wheel::Wheel;
 use crate::interface::ListKind;
-use polling::{Event, Poller, Source};
-use socket2::{Domain, Protocol, Socket, Type};
-use std::collections::VecDeque;
+use polling::Event;
 use std::io::{self, Read};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
-use std::time::{Duration, Instant, SystemTime};
 
-/// A tick of the timers, in seconds.
-const TICK: f64 = 0.002;
 /// How long after the signal to stop new connections may come.
 const ACCEPT_WINDOW: f64 = 0.6;
 /// How often it is looked whether all has been answered after that.
@@ -27,154 +22,6 @@
 /// Descriptors kept for what is no connection.
 const SPARE: usize = 24;
 
-/// Whose a socket is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Owner {
-    /// The listener's or a user agent's.
-    Agent,
-    /// A proxy pass's.
-    Pass,
-    /// The farm's.
-    Farm,
-    /// A signal to stop or to reload.
-    Signal,
-}
-
-const OWNERS: [Owner; 4] = [Owner::Farm, Owner::Pass, Owner::Agent, Owner::Signal];
-
-fn owner(key: usize) -> Owner {
-    OWNERS[key % OWNERS.len()]
-}
-
-/// What a timer is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Due {
-    /// The hub's.
-    Hub(transaction::Due),
-    /// A user agent's connection, in its round.
-    Agent(usize, u64),
-    /// Accepting goes on.
-    Accept,
-    /// A worker's connection, in its round.
-    Pass(usize, u64),
-    /// A worker's connection that is being made.
-    Dial(usize),
-    /// A call to discovery.
-    Farm(u64),
-    /// The connection for a call to discovery.
-    FarmDial(u64),
-    /// The end of the accept window, or a look after it.
-    WindUp,
-}
-
-/// One monotonic clock that shows Unix time as it was at the start.
-pub struct Clock {
-    start: Instant,
-    unix: f64,
-}
-
-impl Clock {
-    /// Anchors it now.
-    pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        Self { start: Instant::now(), unix: unix.as_secs_f64() }
-    }
-
-    /// Seconds since 1970.
-    pub fn now(&self) -> f64 {
-        self.unix + self.start.elapsed().as_secs_f64()
-    }
-}
-
-impl Default for Clock {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
-/// What the owners of connections share: the poller, the timers, the time, and the queue to the hub.
-pub struct Reactor {
-    poller: Poller,
-    wheel: Wheel<Due>,
-    next_key: usize,
-    /// The time of this turn of the loop.
-    pub now: f64,
-    /// News for the hub, in their order.
-    pub queue: VecDeque<Input>,
-}
-
-impl Reactor {
-    /// A reactor without sockets and timers.
-    ///
-    /// # Errors
-    ///
-    /// If the system gives no poller.
-    pub fn new(now: f64) -> io::Result<Self> {
-        let (poller, wheel, queue) = (Poller::new()?, Wheel::new(TICK, now), VecDeque::new());
-        Ok(Self { poller, wheel, next_key: 1, now, queue })
-    }
-
-    /// Takes a socket in, without interest yet; keys are never used again.
-    ///
-    /// # Errors
-    ///
-    /// If the poller refuses it.
-    pub fn register(&mut self, source: impl Source, whose: Owner) -> io::Result<usize> {
-        let rank = OWNERS.iter().position(|o| *o == whose).unwrap_or_default();
-        let key = self.next_key * OWNERS.len() + rank;
-        self.poller.add(source, Event::none(key))?;
-        self.next_key += 1;
-        Ok(key)
-    }
-
-    /// Says what a socket waits for; it holds for one event.
-    pub fn rearm(&self, source: impl Source, key: usize, (readable, writable): (bool, bool)) {
-        // A socket that the poller holds can be changed; if not, its owner's timer ends it.
-        let _ = self.poller.modify(source, Event { key, readable, writable });
-    }
-
-    /// Lets a socket go, before it is closed.
-    pub fn forget(&self, source: impl Source) {
-        let _ = self.poller.delete(source);
-    }
-
-    /// The timers that are due now.
-    pub fn due(&mut self) -> Vec<Due> {
-        self.wheel.advance(self.now)
-    }
-
-    /// Sets a timer.
-    pub fn timer(&mut self, at: f64, due: Due) {
-        self.wheel.insert(at, due);
-    }
-}
-
-/// Starts to connect, without waiting.
-///
-/// # Errors
-///
-/// If the connection can't even be started.
-pub fn dial(to: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    match socket.connect(&to.into()) {
-        Ok(()) => {}
-        Err(error) if error.raw_os_error() == Some(115) || error.kind() == io::ErrorKind::WouldBlock => {}
-        Err(error) => return Err(error),
-    }
-    Ok(socket.into())
-}
-
-fn listen(at: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&at.into())?;
-    socket.listen(1024)?;
-    Ok(socket.into())
-}
-
 /// A stream on which a byte is a signal.
 struct Signal {
     stream: UnixStream,
@@ -236,7 +83,8 @@
         let clock = Clock::new();
         let mut reactor = Reactor::new(clock.now())?;
         let mut settings = config.settings;
-        let listener = listen(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
+        let listener =
+            reactor::listen(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
         let address = listener.local_addr()?;
         let sockets = config.sockets.saturating_sub(SPARE).max(16);
         // Three quarters of the memory hold what each user agent's connection can come to at most.
@@ -247,11 +95,15 @@
         settings.max_open = if settings.max_open > 0 { settings.max_open.min(open) } else { open };
         let agents = UserAgents::new(&mut reactor, listener, settings.clone(), most)?;
         let passes = ProxyPasses::new(sockets * 3 / 8, settings.dial_timeout, settings.conn_idle);
+        // A list without a worker is none: as one that is held it would keep the node waiting for its turn.
         let revision = config.known.as_ref().map(|list| list.revision);
-        let farm = Farm::new(config.discovery, settings.clone(), revision);
-        let hub = Hub::new(settings.clone(), config.seed)?;
         let known = config.known.map(|list| list.members(&settings)).unwrap_or_default();
-        reactor.queue.push_back(Input::Farm(ListKind::Cached, known));
+        let revision = revision.filter(|_| !known.is_empty());
+        let farm = Farm::new(config.discovery, settings.clone(), revision, config.seed);
+        let hub = Hub::new(settings.clone(), config.seed)?;
+        if !known.is_empty() {
+            reactor.queue.push_back(Input::Farm(ListKind::Cached, known));
+        }
         let stop = Signal::new(&mut reactor, stop)?;
         let (reload, stopping, quiet, done) = (None, false, 0, false);
         Ok(Self { clock, reactor, hub, agents, passes, farm, stop, reload, address, stopping, quiet, done })
@@ -284,19 +136,11 @@
     /// If the system's poller fails.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::new();
+        self.farm.start(&mut self.reactor);
         while !self.done {
             self.work();
-            let until =
-                self.reactor.wheel.next().map(|at| Duration::from_secs_f64((at - self.clock.now()).max(0.0)));
-            events.clear();
-            if let Err(error) = self.reactor.poller.wait(&mut events, until) {
-                if error.kind() != io::ErrorKind::Interrupted {
-                    return Err(error);
-                }
-            }
+            self.reactor.wait(&mut events, self.clock.now())?;
             self.reactor.now = self.clock.now();
-            // What the list says comes before all that might be sent by an older one.
-            events.sort_by_key(|event| event.key % OWNERS.len());
             for event in &events {
                 self.dispatch(*event);
             }
@@ -309,7 +153,7 @@
 
     fn dispatch(&mut self, Event { key, readable, writable }: Event) {
         let reactor = &mut self.reactor;
-        match owner(key) {
+        match reactor::owner(key) {
             Owner::Agent => self.agents.ready(reactor, key, readable, writable),
             Owner::Pass => self.passes.ready(reactor, key, readable, writable),
             Owner::Farm => self.farm.ready(reactor, key, readable, writable),
@@ -328,6 +172,7 @@
             Due::Dial(key) => self.passes.dial_due(reactor, key),
             Due::Farm(call) => self.farm.due(reactor, call),
             Due::FarmDial(call) => self.farm.dial_due(reactor, call),
+            Due::FarmAgain => self.farm.again(reactor),
             Due::WindUp => {
                 let quiet = self.agents.wind_up(reactor) && self.hub.held() == 0;
                 self.quiet = if quiet { self.quiet + 1 } else { 0 };
--- a/src/net/proxy_pass.rs
+++ b/src/net/proxy_pass.rs
@@ -1,8 +1,8 @@
 //! Proxy passes: connections to workers, the pool of idle ones, and one attempt's life on them.
 
 use super::connection::{Callbacks, Connection, State};
-use super::event_loop::{Due, Owner, Reactor};
 use super::http::{self, Read, Response};
+use super::reactor::{self, Due, Owner, Reactor};
 use super::transaction::{Input, Load, PassEnd, PassId, Payload};
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -71,11 +71,12 @@
 
 impl Caller<'_> {
     fn written(&mut self, connection: &Connection<TcpStream>) {
-        if let Errand::Pass(pass, written @ false) = &mut self.errands.errand {
-            if connection.flushed() && !matches!(connection.state(), State::Dialing | State::Ended) {
-                *written = true;
-                self.reactor.queue.push_back(Input::Written(*pass));
-            }
+        if let Errand::Pass(pass, written @ false) = &mut self.errands.errand
+            && connection.flushed()
+            && !matches!(connection.state(), State::Dialing | State::Ended)
+        {
+            *written = true;
+            self.reactor.queue.push_back(Input::Written(*pass));
         }
     }
 
@@ -271,7 +272,7 @@
             self.drop(reactor, oldest.ok_or(PassEnd::NoRoom)?);
         }
         // Danger: a shortage here told as a worker's fault would take sound workers out of the draw.
-        let stream = super::event_loop::dial(worker).map_err(|error| match error.kind() {
+        let stream = reactor::dial(worker).map_err(|error| match error.kind() {
             ErrorKind::ConnectionRefused | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
                 PassEnd::NeverSent
             }
--- /dev/null
+++ b/src/net/reactor.rs
@@ -0,0 +1,187 @@
+//! What the owners of sockets stand on: the poller, the timers, the clock and the queue to the hub.
+
+use super::transaction::{self, Input};
+use super::wheel::Wheel;
+use polling::{Event, Poller, Source};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::VecDeque;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant, SystemTime};
+
+/// A tick of the timers, in seconds.
+const TICK: f64 = 0.002;
+
+/// Whose a socket is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// The listener's or a user agent's.
+    Agent,
+    /// A proxy pass's.
+    Pass,
+    /// The farm's.
+    Farm,
+    /// A signal to stop or to reload.
+    Signal,
+}
+
+const OWNERS: [Owner; 4] = [Owner::Farm, Owner::Pass, Owner::Agent, Owner::Signal];
+
+/// Whose socket a key is.
+pub fn owner(key: usize) -> Owner {
+    OWNERS[key % OWNERS.len()]
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// The hub's.
+    Hub(transaction::Due),
+    /// A user agent's connection, in its round.
+    Agent(usize, u64),
+    /// Accepting goes on.
+    Accept,
+    /// A worker's connection, in its round.
+    Pass(usize, u64),
+    /// A worker's connection that is being made.
+    Dial(usize),
+    /// A call to discovery.
+    Farm(u64),
+    /// The connection for a call to discovery.
+    FarmDial(u64),
+    /// Another call to discovery, for a node without any list.
+    FarmAgain,
+    /// The end of the accept window, or a look after it.
+    WindUp,
+}
+
+/// One monotonic clock that shows Unix time as it was at the start.
+pub struct Clock {
+    start: Instant,
+    unix: f64,
+}
+
+impl Clock {
+    /// Anchors it now.
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Self { start: Instant::now(), unix: unix.as_secs_f64() }
+    }
+
+    /// Seconds since 1970.
+    pub fn now(&self) -> f64 {
+        self.unix + self.start.elapsed().as_secs_f64()
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// What the owners of connections share: the poller, the timers, the time, and the queue to the hub.
+pub struct Reactor {
+    poller: Poller,
+    wheel: Wheel<Due>,
+    next_key: usize,
+    /// The time of this turn of the loop.
+    pub now: f64,
+    /// News for the hub, in their order.
+    pub queue: VecDeque<Input>,
+}
+
+impl Reactor {
+    /// A reactor without sockets and timers.
+    ///
+    /// # Errors
+    ///
+    /// If the system gives no poller.
+    pub fn new(now: f64) -> io::Result<Self> {
+        let (poller, wheel, queue) = (Poller::new()?, Wheel::new(TICK, now), VecDeque::new());
+        Ok(Self { poller, wheel, next_key: 1, now, queue })
+    }
+
+    /// Takes a socket in, without interest yet; keys are never used again.
+    ///
+    /// # Errors
+    ///
+    /// If the poller refuses it.
+    pub fn register(&mut self, source: impl Source, whose: Owner) -> io::Result<usize> {
+        let rank = OWNERS.iter().position(|o| *o == whose).unwrap_or_default();
+        let key = self.next_key * OWNERS.len() + rank;
+        self.poller.add(source, Event::none(key))?;
+        self.next_key += 1;
+        Ok(key)
+    }
+
+    /// Says what a socket waits for; it holds for one event.
+    pub fn rearm(&self, source: impl Source, key: usize, (readable, writable): (bool, bool)) {
+        // A socket that the poller holds can be changed; if not, its owner's timer ends it.
+        let _ = self.poller.modify(source, Event { key, readable, writable });
+    }
+
+    /// Lets a socket go, before it is closed.
+    pub fn forget(&self, source: impl Source) {
+        let _ = self.poller.delete(source);
+    }
+
+    /// Waits for sockets, or until the next timer is due; what comes of the same owner's rank stays together.
+    /// News of the farm come first: what the list says comes before all that might be sent by an older one.
+    ///
+    /// # Errors
+    ///
+    /// If the system's poller fails.
+    pub fn wait(&self, events: &mut Vec<Event>, now: f64) -> io::Result<()> {
+        let until = self.wheel.next().map(|at| Duration::from_secs_f64((at - now).max(0.0)));
+        events.clear();
+        if let Err(error) = self.poller.wait(events, until)
+            && error.kind() != io::ErrorKind::Interrupted
+        {
+            return Err(error);
+        }
+        events.sort_by_key(|event| event.key % OWNERS.len());
+        Ok(())
+    }
+
+    /// The timers that are due now.
+    pub fn due(&mut self) -> Vec<Due> {
+        self.wheel.advance(self.now)
+    }
+
+    /// Sets a timer.
+    pub fn timer(&mut self, at: f64, due: Due) {
+        self.wheel.insert(at, due);
+    }
+}
+
+/// Starts to connect, without waiting.
+///
+/// # Errors
+///
+/// If the connection can't even be started.
+pub fn dial(to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&to.into()) {
+        Ok(()) => {}
+        Err(error) if error.raw_os_error() == Some(115) || error.kind() == io::ErrorKind::WouldBlock => {}
+        Err(error) => return Err(error),
+    }
+    Ok(socket.into())
+}
+
+/// Listens, without waiting for anybody.
+///
+/// # Errors
+///
+/// If the address is none of this machine's, or taken.
+pub fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(1024)?;
+    Ok(socket.into())
+}
--- a/src/net/user_agent.rs
+++ b/src/net/user_agent.rs
@@ -1,8 +1,8 @@
 //! The user agents' side: the listener, their connections, the workers' call-backs, the readiness check.
 
 use super::connection::{Callbacks, Connection, State};
-use super::event_loop::{Due, Owner, Reactor};
 use super::http::{self, Flaw, Headers, Read, Request, RequestReader};
+use super::reactor::{Due, Owner, Reactor};
 use super::transaction::{Answer, Input, JobCall, JobState, Load, Payload, Submission};
 use crate::interface::{Settings, sound};
 use serde::Deserialize;
