Keep one pending call to a dead discovery, not timers that double

Cause: each call to discovery set a timer in case nothing came back, and each failure another one; both counted. With discovery dead for long the timers doubled with every round: a node that had been left for ten minutes used 11 % of a core for nothing else.

Change: the module remembers when it asks next, and an earlier timer counts no more; steps end at 0.4 of must-ask-in, so that the longest with its jitter stays within it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -86,7 +86,7 @@
             Event::Timer { token } => match (token / REVIEW * REVIEW, token % REVIEW) {
                 (ANSWER, id) => self.finish(id, false),
                 (REVIEW, id) => self.review(id),
-                (ASK, 0) => self.ask(),
+                (ASK, 0) if self.now + self.set.tick >= self.known.ask_at => self.ask(),
                 _ => {}
             },
             Event::Probed { worker, outcome, report, .. } => self.probed(*worker, *outcome, report),
@@ -605,7 +605,7 @@
 
     fn list(&mut self, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
-            (self.known.asks_failed, self.known.watching) = ((self.known.asks_failed + 1).min(4), false);
+            (self.known.asks_failed, self.known.watching) = ((self.known.asks_failed + 1).min(3), false);
             return self.ask_in(self.set.must_ask_in * 0.05 * 2f64.powi(self.known.asks_failed));
         }
         if kind == ListKind::Cached {
@@ -640,8 +640,9 @@
     }
 
     fn ask_in(&mut self, after: f64) {
-        let timer = Action::Timer { at: self.jitter(after), token: ASK };
-        self.out.push(timer);
+        // Danger: were each timer to count, a dead discovery would double them with every call that fails.
+        self.known.ask_at = self.jitter(after);
+        self.out.push(Action::Timer { at: self.known.ask_at, token: ASK });
     }
 
     fn ask(&mut self) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -172,7 +172,8 @@
     /// When requests were taken and further attempts sent, within the window of the retry budget.
     pub taken: Times,
     pub further: Times,
-    /// Calls to the list that failed in a row; whether changes of the list come.
+    /// When the list is to be asked for next; calls that failed in a row; whether changes of the list come.
+    pub ask_at: f64,
     pub asks_failed: i32,
     pub watching: bool,
 }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -743,3 +743,26 @@
         assert_eq!(sends(&bed.request(99, 2)).len(), sent, "{shed_begun}");
     }
 }
+
+/// Guards against timers that double with each call to a dead discovery until the node does nothing else, and
+/// against a node that stops asking: ten minutes without an answer.
+#[test]
+fn a_dead_discovery_is_asked_at_a_steady_pace() {
+    let mut bed = Bed::new(settings(|s| s["discovery"] = "on_request".into()), 3);
+    let mut timers = timers(&bed.list(ListKind::Failed, Vec::new()));
+    let mut asked = vec![bed.now];
+    while bed.now < 700.0 {
+        timers.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (at, token) = timers.remove(0);
+        bed.now = at;
+        let mut actions = bed.event(Event::Timer { token });
+        if actions.iter().any(|a| matches!(a, Action::Watch)) {
+            asked.push(bed.now);
+            actions.extend(bed.list(ListKind::Failed, Vec::new()));
+        }
+        timers.extend(common::timers(&actions));
+        assert!(timers.len() <= 6, "{} timers at once", timers.len());
+    }
+    assert!((60..=200).contains(&asked.len()), "{} calls", asked.len());
+    assert!(asked.windows(2).all(|pair| pair[1] - pair[0] <= 10.0), "{asked:?}");
+}
