Keep the farm's list, look at a store from the command line, try it all in one process

Need: a start went by the configuration's list though a newer one had been held; a store could not be looked at without a node; a first try took three terminals.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,8 @@
 //! The command line.
 
 mod serve;
+mod store;
+mod trial;
 
 use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
 use postproxy::logs::Format;
@@ -30,6 +32,11 @@
         #[arg(long, value_name = "FILE")]
         config: Option<String>,
     },
+    /// Look at a store's files, with its node stopped
+    #[command(subcommand)]
+    Store(store::Action),
+    /// Try it all in one process: discovery, four workers, a node, and jobs of two classes
+    Try(trial::Trial),
     /// Print a script that completes this program's words in a shell
     Completions {
         /// The shell
@@ -78,6 +85,8 @@
         None => serve::run(Serve::default()),
         Some(Command::Serve(serve)) => serve::run(serve),
         Some(Command::Check { file, config }) => check(&file, config.as_deref()),
+        Some(Command::Store(action)) => store::run(action),
+        Some(Command::Try(trial)) => trial::run(&trial),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Cli::command(), "postproxy", &mut std::io::stdout());
             Ok(())
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -6,7 +6,8 @@
 use super::reactor::{self, Due, Owner, Reactor};
 use super::transaction::{Input, Member};
 use crate::interface::{Entry, Health, ListKind, Settings};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 
 /// Longest list that is read.
@@ -19,7 +20,7 @@
 const FIRST_AGAIN: f64 = 0.1;
 const MOST_AGAIN: f64 = 2.0;
 
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct RawMember {
     id: String,
     host_port: String,
@@ -36,8 +37,36 @@
     up_since_ms: f64,
 }
 
+/// The whole list as it was last held, with whose versions it counts in.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Kept {
+    discovery: SocketAddr,
+    revision: u64,
+    members: Vec<RawMember>,
+}
+
+impl Kept {
+    /// Reads one; `None` for what is none.
+    pub fn from_json(text: &[u8]) -> Option<Self> {
+        serde_json::from_slice(text).ok()
+    }
+
+    /// The list to start with: this one, where it is newer than the configuration's; versions of another
+    /// discovery can't be compared, and count only where the configuration has no worker.
+    pub fn or(self, known: Option<List>, discovery: SocketAddr) -> Option<List> {
+        let newer = match &known {
+            Some(known) if !known.members.is_empty() => {
+                self.discovery == discovery && self.revision > known.revision
+            }
+            _ => !self.members.is_empty(),
+        };
+        let own = List { revision: self.revision, complete: true, members: self.members };
+        if newer { Some(own) } else { known }
+    }
+}
+
 /// A list in discovery's form.
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 pub struct List {
     /// Its version.
     pub revision: u64,
@@ -98,6 +127,8 @@
     dial_timeout: f64,
     /// While no list has been had at all: when to call again.
     hunger: Option<Backoff>,
+    /// The whole list, where it is to be kept, and whether it has changed since it was taken to be written.
+    held: Option<(BTreeMap<String, RawMember>, bool)>,
 }
 
 /// Collects what one connection tells.
@@ -131,7 +162,24 @@
         let dial_timeout = settings.dial_timeout.max(0.25);
         let hunger = known.is_none().then(|| Backoff::new(FIRST_AGAIN, MOST_AGAIN, seed));
         let (revision, session, calling, call) = (known, None, false, 0);
-        Self { discovery, settings, revision, session, calling, call, dial_timeout, hunger }
+        Self { discovery, settings, revision, session, calling, call, dial_timeout, hunger, held: None }
+    }
+
+    /// Holds the whole list from now on, beginning with this one, so that it can be kept.
+    pub fn hold(&mut self, known: Option<&List>) {
+        let members = known.map(|list| list.members.clone()).unwrap_or_default();
+        self.held = Some((members.into_iter().map(|m| (m.id.clone(), m)).collect(), false));
+    }
+
+    /// The list to keep, if it has changed since it was last asked for.
+    pub fn changed(&mut self) -> Option<Vec<u8>> {
+        let revision = self.revision?;
+        let (members, changed) = self.held.as_mut()?;
+        if !std::mem::take(changed) {
+            return None;
+        }
+        let members = members.values().cloned().collect();
+        serde_json::to_vec(&Kept { discovery: self.discovery, revision, members }).ok()
     }
 
     /// A node without a worker has nothing to lose by asking: it does so at once, and until it has been told
@@ -240,6 +288,19 @@
         self.revision = (!stale).then_some(list.revision);
         if !stale {
             self.hunger = None;
+            if let Some((held, changed)) = &mut self.held {
+                if list.complete {
+                    held.clear();
+                }
+                *changed |= list.complete || !list.members.is_empty();
+                for member in &list.members {
+                    if member.phase == "terminated" {
+                        held.remove(&member.id);
+                    } else {
+                        held.insert(member.id.clone(), member.clone());
+                    }
+                }
+            }
             let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
             reactor.queue.push_back(Input::Farm(kind, list.members(&self.settings)));
         }
@@ -320,6 +381,40 @@
         assert!(matches!(reactor.queue.pop_front(), Some(Input::Farm(ListKind::Failed, _))));
     }
 
+    /// Guards against a start with an older list than the one that was held, or with one whose versions mean
+    /// nothing here; against a kept list that misses changes, or holds what has gone.
+    #[test]
+    fn the_newer_list_counts_at_a_start() {
+        let member = |id: &str, phase: &str| {
+            format!(r#"{{"id":"{id}","host_port":"10.0.0.1:80","phase":"{phase}","cell":2}}"#)
+        };
+        let list = |revision: u64, complete: bool, members: &[String]| {
+            let members = members.join(",");
+            let text = format!(r#"{{"revision":{revision},"complete":{complete},"members":[{members}]}}"#);
+            List::from_json(text.as_bytes()).expect("a list")
+        };
+        let at: SocketAddr = ([127, 0, 0, 1], 1).into();
+        let mut reactor = Reactor::new(1000.0).expect("a reactor");
+        let settings = Settings::from_json(r#"{"discovery": "on_request"}"#).expect("sound settings");
+        let mut farm = Farm::new(at, settings, Some(5), 7);
+        farm.hold(Some(&list(5, true, &[member("a", "in_service")])));
+        assert!(farm.changed().is_none());
+        let changes = [member("a", "terminated"), member("b", "in_service"), member("c", "terminating")];
+        farm.told(&mut reactor, list(8, false, &changes));
+        let kept = farm.changed().expect("it has changed");
+        assert!(farm.changed().is_none(), "it was taken");
+        let start = |known: Option<List>, discovery: SocketAddr| {
+            let list = Kept::from_json(&kept).expect("a list").or(known, discovery).expect("a list");
+            (list.revision, list.members.iter().map(|m| m.id.clone()).collect::<Vec<_>>().join(","))
+        };
+        assert_eq!(start(Some(list(7, true, &[member("x", "in_service")])), at), (8, "b,c".into()));
+        assert_eq!(start(Some(list(9, true, &[member("x", "in_service")])), at), (9, "x".into()));
+        let moved = ([127, 0, 0, 1], 2).into();
+        assert_eq!(start(Some(list(7, true, &[member("x", "in_service")])), moved), (7, "x".into()));
+        assert_eq!(start(None, moved), (8, "b,c".into()));
+        assert_eq!(start(Some(list(9, true, &[])), at), (8, "b,c".into()), "one without a worker is none");
+    }
+
     /// Guards against a start that is lost in the change of clocks (0 stays 0), names joined to wrong numbers,
     /// and an entry that can't be read taking the others with it or being sent to.
     #[test]
--- a/src/net/keeper.rs
+++ b/src/net/keeper.rs
@@ -1,6 +1,7 @@
 //! The node's hand on the store: it carries out the hub's writes and reads, and tells the hub what became of
 //! them. The disk is waited for by the store's own thread.
 
+use super::farm::Kept;
 use super::reactor::{Owner, Reactor};
 use super::transaction::{AgentId, Input, Wait};
 use crate::operator::StoreSection;
@@ -17,6 +18,8 @@
 
 /// Bytes that may wait for the disk.
 const MOST_QUEUED: usize = 16 << 20;
+/// The key of the farm's list.
+const FARM: &[u8] = b"f/list";
 /// How long after a failure the disk is tried again.
 const AGAIN: Duration = Duration::from_millis(500);
 
@@ -59,7 +62,7 @@
 }
 
 impl Keeper {
-    /// Opens the store, reads what it holds into the ledger, and starts its thread.
+    /// Opens the store, reads what it holds, which may be the farm's list, too, and starts its thread.
     ///
     /// # Errors
     ///
@@ -68,13 +71,18 @@
         reactor: &mut Reactor,
         section: &StoreSection,
         name: &str,
-    ) -> Result<(Self, Ledger), String> {
+    ) -> Result<(Self, Ledger, Option<Kept>), String> {
         let holder = format!("process {} (node {name})", std::process::id());
         let (mut engine, recovery) = open(section, &holder)?;
         let mut ledger = Ledger::new(section.limits());
+        let mut farm = None;
         engine
             .scan(|key, value| {
-                ledger.load(key, value);
+                if key == FARM {
+                    farm = Kept::from_json(value);
+                } else {
+                    ledger.load(key, value);
+                }
             })
             .map_err(|error| format!("store: {error}"))?;
         tracing::info!(
@@ -110,7 +118,7 @@
         let (store, events) = Store::start(engine, work).map_err(|error| format!("store: {error}"))?;
         let (waiting, reads) = (VecDeque::new(), HashMap::new());
         let keeper = Self { store, events, woken, pending, key, waiting, reads, next_read: 0 };
-        Ok((keeper, ledger))
+        Ok((keeper, ledger, farm))
     }
 
     /// Has changes written together; what waits for them is told later, through the queue.
@@ -125,6 +133,13 @@
         }
     }
 
+    /// Keeps the farm's list. One that is refused is written with the next change.
+    pub fn keep_farm(&mut self, list: &[u8]) {
+        if let Ok(ticket) = self.store.append(Batch::new().put(FARM, list, 0)) {
+            self.waiting.push_back((ticket, Wait::Nobody(String::new())));
+        }
+    }
+
     /// Has the result of a job read.
     pub fn fetch(&mut self, agent: AgentId, id: &str) {
         self.next_read += 1;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -21,6 +21,8 @@
 /// So many looks in a row find nothing before the node ends: a user agent whose request crossed the end of its
 /// connection sends it again on a new one.
 const QUIET: u32 = 10;
+/// How often the farm's list is kept, if it has changed.
+const FARM_KEPT: f64 = 1.0;
 /// Descriptors kept for what is no connection.
 const SPARE: usize = 24;
 
@@ -87,9 +89,13 @@
         let mut reactor = Reactor::new(clock.now())?;
         let mut settings = config.settings;
         // Before anybody can call: a call-back that came earlier would meet a node that knows of nothing.
+        let mut known = config.known;
         let kept = match &config.store {
             Some(section) => {
-                let (keeper, mut ledger) = Keeper::start(&mut reactor, section, &config.name)?;
+                let (keeper, mut ledger, list) = Keeper::start(&mut reactor, section, &config.name)?;
+                if let Some(list) = list {
+                    known = list.or(known, config.discovery);
+                }
                 let nothing_ran = ledger.loaded();
                 let keeping = Keeping::new(
                     &settings,
@@ -114,10 +120,10 @@
         let agents = UserAgents::new(&mut reactor, listener, settings.clone(), most)?;
         let passes = ProxyPasses::new(sockets * 3 / 8, settings.dial_timeout, settings.conn_idle);
         // A list without a worker is none: as one that is held it would keep the node waiting for its turn.
-        let revision = config.known.as_ref().map(|list| list.revision);
-        let known = config.known.map(|list| list.members(&settings)).unwrap_or_default();
-        let revision = revision.filter(|_| !known.is_empty());
-        let farm = Farm::new(config.discovery, settings.clone(), revision, config.seed);
+        let revision = known.as_ref().map(|list| list.revision);
+        let members = known.clone().map(|list| list.members(&settings)).unwrap_or_default();
+        let revision = revision.filter(|_| !members.is_empty());
+        let mut farm = Farm::new(config.discovery, settings.clone(), revision, config.seed);
         let mut hub = Hub::new(settings.clone(), config.seed)?;
         let keeper = kept.map(|(mut keeper, keeping, nothing_ran)| {
             hub.keep(keeping);
@@ -125,8 +131,12 @@
             reactor.queue.push_back(Input::Due(transaction::Due::Expire));
             keeper
         });
-        if !known.is_empty() {
-            reactor.queue.push_back(Input::Farm(ListKind::Cached, known));
+        if !members.is_empty() {
+            reactor.queue.push_back(Input::Farm(ListKind::Cached, members));
+        }
+        if keeper.is_some() {
+            farm.hold(known.as_ref());
+            reactor.timer(reactor.now + FARM_KEPT, Due::FarmKept);
         }
         let stop = Signal::new(&mut reactor, stop)?;
         let (reload, stopping, quiet, done) = (None, false, 0, false);
@@ -216,6 +226,12 @@
             Due::Farm(call) => self.farm.due(reactor, call),
             Due::FarmDial(call) => self.farm.dial_due(reactor, call),
             Due::FarmAgain => self.farm.again(reactor),
+            Due::FarmKept => {
+                if let (Some(keeper), Some(list)) = (&mut self.keeper, self.farm.changed()) {
+                    keeper.keep_farm(&list);
+                }
+                reactor.timer(reactor.now + FARM_KEPT, Due::FarmKept);
+            }
             Due::WindUp => {
                 let quiet = self.agents.wind_up(reactor) && self.hub.held() == 0;
                 self.quiet = if quiet { self.quiet + 1 } else { 0 };
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -53,6 +53,8 @@
     FarmDial(u64),
     /// Another call to discovery, for a node without any list.
     FarmAgain,
+    /// Keeping the farm's list, if it has changed.
+    FarmKept,
     /// The end of the accept window, or a look after it.
     WindUp,
 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -73,6 +73,22 @@
 }
 
 impl StoreSection {
+    /// The store in these folders, all else as by default.
+    pub fn of(folder: &str, mirror: Option<&str>) -> Self {
+        Self {
+            folder: folder.to_owned(),
+            mirror: mirror.map(str::to_owned),
+            segment_mb: segment_mb(),
+            most_mb: 0,
+            keyed_durable: false,
+            patience_ms: patience_ms(),
+            retention_s: retention_s(),
+            retention_of_s: HashMap::new(),
+            result_kb: result_kb(),
+            most_jobs: most_jobs(),
+        }
+    }
+
     /// What the ledger keeps to.
     pub fn limits(&self) -> Limits {
         Limits {
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -159,3 +159,73 @@
     let (code, said, error) = run(&["check", good, "--config", example]);
     assert!(code == Some(0) && said.contains("sound"), "{error}");
 }
+
+/// Guards against a trial that needs anything else to run, or that ends well though jobs failed or ran twice.
+#[test]
+fn a_trial_runs_by_itself() {
+    let output =
+        Command::new(env!("CARGO_BIN_EXE_postproxy")).args(["try", "--jobs", "5"]).env_clear().output();
+    let output = output.expect("the program starts");
+    let said = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{said}{}", String::from_utf8_lossy(&output.stderr));
+    assert_eq!(said.lines().filter(|line| line.ends_with(" served")).count(), 10, "{said}");
+    for class in ["reroute", "day-plan"] {
+        let line = said.lines().rfind(|line| line.starts_with(class)).expect("a line of the table");
+        let figures: Vec<&str> = line.split_whitespace().collect();
+        assert_eq!(figures[1..6], ["5", "5", "0", "0", "1.00"], "{line}");
+    }
+}
+
+/// Guards against tools that can't read what the node has written, that make a folder which is not there, or
+/// that say nothing of damage.
+#[test]
+fn a_store_can_be_looked_at() {
+    use postproxy_ledger::{Asked, Ledger, Limits, Write as Change};
+    use postproxy_store::{Change as Op, Engine, Options, OsDisk};
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("tools-{}", std::process::id()));
+    let dir = folder.to_str().expect("a plain path");
+    let run = |args: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_postproxy")).arg("store").args(args).output();
+        let output = output.expect("the program starts");
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (output.status.code(), text(&output.stdout), text(&output.stderr))
+    };
+    assert!(run(&["stat", dir]).0 == Some(1) && !folder.exists());
+    let mut ledger = Ledger::new(Limits::default());
+    let disk = OsDisk::new(&folder).expect("a folder");
+    let mut engine = Engine::open(vec![disk], Options::default(), "a test", 7, 0).expect("a store").0;
+    for n in 0..3 {
+        let id = format!("job-{n}");
+        let asked = Asked { id: &id, key: Some("k"), class: "day-plan", digest: [7; 32] };
+        for write in ledger.intend(4e9, &asked, "s-1", 4e9 + 12.0) {
+            let Change::Put { key, value, until } = write else { panic!("a put") };
+            engine.append(&[Op::Put { key: &key, value: &value, until }]).expect("room");
+            engine.commit().expect("durable");
+        }
+    }
+    assert!(run(&["stat", dir]).2.contains("is held by a test"), "{:?}", run(&["stat", dir]));
+    drop(engine);
+    let (code, said, _) = run(&["dump", dir]);
+    assert_eq!((code, said.lines().count()), (Some(0), 3));
+    assert!(said.contains(r#""job":"job-1""#) && said.contains(r#""worker":"s-1""#), "{said}");
+    assert!(run(&["stat", dir]).1.contains("records      3"));
+    assert_eq!(run(&["verify", dir]).0, Some(0));
+    // The first frame behind the header is changed.
+    let file = std::fs::read_dir(&folder)
+        .expect("a folder")
+        .flatten()
+        .map(|file| file.path())
+        .find(|path| path.extension().is_some_and(|end| end == "seg"))
+        .expect("a file");
+    let bytes = std::fs::read(&file).expect("a file");
+    let mut damaged = bytes.clone();
+    damaged[70] ^= 1;
+    std::fs::write(&file, damaged).expect("it is written");
+    let (code, said, error) = run(&["verify", dir]);
+    assert!(code == Some(1) && said.contains("are lost") && error.contains("lost"), "{said}{error}");
+    std::fs::write(&file, bytes).expect("it is written");
+    assert_eq!(run(&["compact", dir]).0, Some(0));
+    assert!(run(&["verify", dir]).1.contains("3 records"));
+    std::fs::remove_dir_all(&folder).expect("it was there");
+}
