Give transactions spans in the logs; measure the store, the node with it, and the logs

Need: nobody could follow one job through the logs, and the store's cost had not been measured in a node.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -122,7 +122,8 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     limits: Limits,
-    jobs: HashMap<String, Job>,
+    /// Boxed: a table that grows moves all its entries in one turn of whoever asks.
+    jobs: HashMap<String, Box<Job>>,
     by_key: HashMap<(String, String), String>,
     expiry: BTreeSet<(u64, String)>,
     in_doubt: usize,
@@ -182,7 +183,7 @@
         }
         self.expiry.insert((job.record.until, id.to_owned()));
         self.in_doubt += usize::from(Self::doubtful(&job));
-        self.jobs.insert(id.to_owned(), job);
+        self.jobs.insert(id.to_owned(), Box::new(job));
     }
 
     fn unset(&mut self, id: &str) -> Option<Job> {
@@ -195,7 +196,7 @@
                 self.by_key.remove(&by_key);
             }
         }
-        Some(job)
+        Some(*job)
     }
 
     fn remove(&mut self, id: &str) -> Vec<Write> {
@@ -272,9 +273,10 @@
 
     /// The attempt of this number has ended without serving the job; whether it may have run.
     pub fn ended(&mut self, now: f64, id: &str, attempt: usize, may_have_run: bool) -> Vec<Write> {
-        let out =
-            |job: &&Job| job.running && job.record.attempts.get(attempt).is_some_and(|a| a.fate == Fate::Out);
-        if self.jobs.get(id).filter(out).is_none() {
+        let out = self.jobs.get(id).is_some_and(|job| {
+            job.running && job.record.attempts.get(attempt).is_some_and(|a| a.fate == Fate::Out)
+        });
+        if !out {
             return Vec::new();
         }
         let Some(mut job) = self.unset(id) else { return Vec::new() };
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -7,6 +7,7 @@
 use std::io::{self, Write};
 use std::os::unix::fs::{FileExt, OpenOptionsExt};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// A folder. Names are flat. What is created, renamed or removed is there after a crash only once
 /// [`Disk::sync_folder`] has come back well.
@@ -112,6 +113,14 @@
 #[derive(Clone, Debug)]
 pub struct OsDisk {
     folder: PathBuf,
+    delay: Duration,
+}
+
+/// A file of the system's.
+#[derive(Debug)]
+pub struct OsFile {
+    file: fs::File,
+    delay: Duration,
 }
 
 /// The name of the file that is locked.
@@ -125,7 +134,14 @@
     /// The system's.
     pub fn new(folder: &Path) -> io::Result<Self> {
         fs::create_dir_all(folder)?;
-        Ok(Self { folder: folder.to_owned() })
+        Ok(Self { folder: folder.to_owned(), delay: Duration::ZERO })
+    }
+
+    /// For trials: the same, where every sync of a file takes so much longer.
+    #[must_use]
+    pub fn slowed(mut self, delay: Duration) -> Self {
+        self.delay = delay;
+        self
     }
 
     /// The folder of this path, which must be there.
@@ -137,12 +153,12 @@
         if !fs::metadata(folder)?.is_dir() {
             return Err(io::ErrorKind::NotADirectory.into());
         }
-        Ok(Self { folder: folder.to_owned() })
+        Ok(Self { folder: folder.to_owned(), delay: Duration::ZERO })
     }
 }
 
 impl Disk for OsDisk {
-    type File = fs::File;
+    type File = OsFile;
     type Lock = fs::File;
 
     fn list(&self) -> io::Result<Vec<String>> {
@@ -156,13 +172,15 @@
         Ok(names)
     }
 
-    fn create(&self, name: &str) -> io::Result<fs::File> {
+    fn create(&self, name: &str) -> io::Result<OsFile> {
         let path = self.folder.join(name);
-        OpenOptions::new().read(true).write(true).create_new(true).mode(0o600).open(path)
+        let file = OpenOptions::new().read(true).write(true).create_new(true).mode(0o600).open(path)?;
+        Ok(OsFile { file, delay: self.delay })
     }
 
-    fn open(&self, name: &str) -> io::Result<fs::File> {
-        OpenOptions::new().read(true).write(true).open(self.folder.join(name))
+    fn open(&self, name: &str) -> io::Result<OsFile> {
+        let file = OpenOptions::new().read(true).write(true).open(self.folder.join(name))?;
+        Ok(OsFile { file, delay: self.delay })
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
@@ -201,15 +219,15 @@
     }
 }
 
-impl File for fs::File {
+impl File for OsFile {
     fn size(&self) -> io::Result<u64> {
-        Ok(self.metadata()?.len())
+        Ok(self.file.metadata()?.len())
     }
 
     fn read_at(&self, at: u64, into: &mut [u8]) -> io::Result<usize> {
         let mut done = 0;
         while done < into.len() {
-            match FileExt::read_at(self, &mut into[done..], at + done as u64) {
+            match FileExt::read_at(&self.file, &mut into[done..], at + done as u64) {
                 Ok(0) => break,
                 Ok(size) => done += size,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -220,14 +238,17 @@
     }
 
     fn write_at(&self, at: u64, bytes: &[u8]) -> io::Result<()> {
-        self.write_all_at(bytes, at)
+        self.file.write_all_at(bytes, at)
     }
 
     fn truncate(&self, size: u64) -> io::Result<()> {
-        self.set_len(size)
+        self.file.set_len(size)
     }
 
     fn sync(&self) -> io::Result<()> {
-        self.sync_data()
+        if !self.delay.is_zero() {
+            std::thread::sleep(self.delay);
+        }
+        self.file.sync_data()
     }
 }
--- a/crates/store/src/engine.rs
+++ b/crates/store/src/engine.rs
@@ -145,9 +145,9 @@
 const STEP: usize = 256 << 10;
 /// Zeros are written ahead of the frames, so that a sync need not make a new size of the file durable too: so
 /// many times the bytes of a group, within these bounds.
-const AHEAD: u64 = 16;
+const AHEAD: u64 = 2;
 const LEAST_AHEAD: u64 = 32 << 10;
-const MOST_AHEAD: u64 = 2 << 20;
+const MOST_AHEAD: u64 = 256 << 10;
 /// So many small segments are put up with, beside what the size of the store asks for.
 const SPARE_SEGMENTS: u64 = 16;
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod writer;
 
 pub use batch::Batch;
-pub use disk::{Disk, File, OsDisk};
+pub use disk::{Disk, File, OsDisk, OsFile};
 pub use engine::{Engine, Lost, OpenError, Options, Recovery, Rejected, Stat};
 pub use frame::Change;
 pub use writer::{Busy, Event, Store, Ticket, Work};
--- a/src/net/keeper.rs
+++ b/src/net/keeper.rs
@@ -48,8 +48,12 @@
 /// In plain words.
 pub fn open(section: &StoreSection, holder: &str) -> Result<(Engine<OsDisk>, Recovery), String> {
     let folders = std::iter::once(&section.folder).chain(section.mirror.as_ref());
+    let delay = Duration::from_millis(section.sync_delay_ms);
     let disks: Result<Vec<OsDisk>, String> = folders
-        .map(|folder| OsDisk::new(Path::new(folder)).map_err(|error| format!("store: {folder}: {error}")))
+        .map(|folder| {
+            let disk = OsDisk::new(Path::new(folder)).map_err(|error| format!("store: {folder}: {error}"));
+            Ok(disk?.slowed(delay))
+        })
         .collect();
     let options = Options {
         segment: section.segment_mb.max(1) << 20,
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -75,6 +75,8 @@
     quiet: u32,
     /// Nothing is owed any more.
     done: bool,
+    /// The longest turn of the loop so far, in seconds.
+    longest: f64,
 }
 
 impl Node {
@@ -154,6 +156,7 @@
             stopping,
             quiet,
             done,
+            longest: 0.0,
         })
     }
 
@@ -172,6 +175,11 @@
         Ok(())
     }
 
+    /// The longest turn of its loop so far, in seconds.
+    pub fn longest_turn(&self) -> f64 {
+        self.longest
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -184,10 +192,13 @@
     /// If the system's poller fails.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::new();
+        self.reactor.now = self.clock.now();
         self.farm.start(&mut self.reactor);
         while !self.done {
             self.work();
-            self.reactor.wait(&mut events, self.clock.now())?;
+            let now = self.clock.now();
+            self.longest = self.longest.max(now - self.reactor.now);
+            self.reactor.wait(&mut events, now)?;
             self.reactor.now = self.clock.now();
             for event in &events {
                 self.dispatch(*event);
--- a/src/net/transaction.rs
+++ b/src/net/transaction.rs
@@ -183,6 +183,18 @@
     Held,
 }
 
+impl Answer {
+    /// As logs name it.
+    fn word(&self) -> &'static str {
+        match self {
+            Self::Served(_) => "served",
+            Self::Unavailable(_) => "unavailable",
+            Self::Failed => "failed",
+            Self::Held => "held",
+        }
+    }
+}
+
 /// What the hub wants done.
 #[derive(Debug)]
 pub enum Command {
@@ -231,6 +243,8 @@
     joined: Vec<AgentId>,
     /// An attempt has ended that may have run.
     may_have_run: bool,
+    /// In the logs; none where its level is off.
+    span: tracing::Span,
 }
 
 /// One who waits for what another has asked for.
@@ -577,6 +591,11 @@
             return out.push(Command::Answer(agent, Answer::Failed));
         };
         let budget = submission.budget.unwrap_or(class.deadline).min(class.deadline);
+        let class_name = if tracing::enabled!(target: "postproxy::transaction", tracing::Level::DEBUG) {
+            class.name.clone()
+        } else {
+            String::new()
+        };
         let Some((submission, asker)) = self.known(agent, submission, now + budget, out) else { return };
         let request = self.next_request;
         self.next_request += 1;
@@ -599,7 +618,7 @@
             self.by_key.insert((submission.class, key.clone()), request);
         }
         let care = self.keeping.as_ref().map_or(Care::None, |keeping| keeping.care(submission.class));
-        let transaction = Transaction {
+        let mut transaction = Transaction {
             payload: Rc::new(submission.payload),
             agent: Some(agent),
             deadline: now + budget,
@@ -609,7 +628,17 @@
             asker,
             joined: Vec::new(),
             may_have_run: false,
+            span: tracing::Span::none(),
         };
+        // A span that is off costs a look at a flag.
+        transaction.span = tracing::debug_span!(
+            target: "postproxy::transaction",
+            "transaction",
+            id = %transaction.payload.id,
+            class = class_name,
+            attempts = tracing::field::Empty,
+            answer = tracing::field::Empty
+        );
         self.transactions.insert(request, transaction);
         self.events.push_back(Event::Request(new));
     }
@@ -761,6 +790,7 @@
         if let Some(request) = self.by_agent.remove(&agent) {
             if let Some(t) = self.transactions.get_mut(&request) {
                 t.agent = None;
+                t.span.record("answer", answer.word());
                 for other in std::mem::take(&mut t.joined) {
                     self.joiners.remove(&other);
                     out.push(Command::Answer(other, answer.clone()));
@@ -778,6 +808,7 @@
             return;
         }
         let Some(t) = self.transactions.remove(&request) else { return };
+        t.span.record("attempts", t.attempts.len());
         self.by_id.remove(&t.payload.id);
         if let Some(key) = &t.payload.idempotency_key
             && self.by_key.get(&(t.class, key.clone())) == Some(&request)
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -50,6 +50,9 @@
     /// How many jobs are kept at most.
     #[serde(default = "most_jobs")]
     pub most_jobs: usize,
+    /// For trials: every sync takes so many milliseconds longer, as on a slow disk.
+    #[serde(default)]
+    pub sync_delay_ms: u64,
 }
 
 fn segment_mb() -> u64 {
@@ -86,6 +89,7 @@
             retention_of_s: HashMap::new(),
             result_kb: result_kb(),
             most_jobs: most_jobs(),
+            sync_delay_ms: 0,
         }
     }
 
