Simplify what was added: spans, waiting intents, and the engine's recovery

Cause: read once more, the change made a transaction's span twice over and copied a class name for it, told an intent from other writes by a pair with a dummy, kept a length that a buffer has, decoded each frame twice when walking a file, and wrote the removal of a file that may be gone and the note of damage two times each.

Change: each of these once; behaviour as before.

--- a/crates/store/src/engine.rs
+++ b/crates/store/src/engine.rs
@@ -189,6 +189,13 @@
     u64::from_str_radix(digits, 16).ok().filter(|n| u32::try_from(*n).is_ok())
 }
 
+fn remove_if_there<D: Disk>(disk: &D, name: &str) -> io::Result<()> {
+    match disk.remove(name) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+        _ => Ok(()),
+    }
+}
+
 /// The whole content of a file; what can't be read counts as not there.
 fn read_file<D: Disk>(disk: &D, name: &str) -> io::Result<Vec<u8>> {
     let file = match disk.open(name) {
@@ -229,14 +236,6 @@
     }
 }
 
-/// What reading a segment's frames has come to.
-struct Sound {
-    /// The frames that count, where they were found.
-    bytes: Vec<u8>,
-    /// Where the last sound frame ends.
-    end: usize,
-}
-
 impl<D: Disk> Engine<D> {
     /// Opens the store in these folders, which hold the same; makes it if it isn't there. `holder` is what
     /// others are told who find it locked, `fresh` a number drawn for a new store, `now` the time in
@@ -253,10 +252,9 @@
         fresh: u64,
         now: u64,
     ) -> Result<(Self, Recovery), OpenError> {
-        let at = |disk: &D| disk.name();
         let mut locks = Vec::new();
         for disk in &disks {
-            locks.push(disk.lock(holder).map_err(|error| OpenError::Io(at(disk), error))?);
+            locks.push(disk.lock(holder).map_err(|error| OpenError::Io(disk.name(), error))?);
         }
         let mut engine = Self {
             disks,
@@ -392,7 +390,7 @@
             }
             self.seq = self.seq.max(header.first.saturating_sub(1));
         }
-        let sound = self.sound_frames(number, &found, after, report);
+        let mut bytes = self.sound_frames(number, &found, after, report);
         let header = found.header.unwrap_or(Header {
             store: self.store,
             segment: number,
@@ -400,15 +398,14 @@
             before: self.segments.get(&(number - 1)).map_or(0, |s| s.size),
             first: self.seq + 1,
         });
-        let mut bytes = sound.bytes;
         bytes[..HEADER].copy_from_slice(&header.encode());
-        let size = sound.end as u64;
+        let size = bytes.len() as u64;
         let files = self.disks.iter().map(|_| None).collect();
-        let lost_all = found.header.is_none() && sound.end == HEADER;
+        let lost_all = found.header.is_none() && bytes.len() == HEADER;
         let segment = Segment { size, live: 0, files, reserved: size, distrusted: false };
         self.segments.insert(number, segment);
         let mut at = HEADER;
-        while at < sound.end {
+        while at < bytes.len() {
             let Some(frame) = Frame::decode(number, &bytes, at) else {
                 at += 1;
                 continue;
@@ -429,10 +426,10 @@
         // With copies, all of them hold the same again. A single one is left as it was found.
         if self.disks.len() > 1 && !lost_all {
             for (copy, image) in found.images.iter().enumerate() {
-                if image.get(..sound.end) != Some(&bytes[..sound.end]) {
+                if !image.starts_with(&bytes) {
                     let disk = &self.disks[copy];
                     let fault = |error| OpenError::Io(format!("{}/{name}", disk.name()), error);
-                    Self::replace(disk, &name, &bytes[..sound.end]).map_err(fault)?;
+                    Self::replace(disk, &name, &bytes).map_err(fault)?;
                     report.repaired.push(format!("{}/{name}", disk.name()));
                 }
             }
@@ -440,7 +437,7 @@
         Ok(())
     }
 
-    /// Finds the frames that count. Where a frame is damaged in all copies, those behind it still count if it
+    /// Finds the frames that count, and gives the segment's bytes up to the end of the last. Where a frame is damaged in all copies, those behind it still count if it
     /// is known to have been durable: if the next segment says so, or a frame behind it does.
     fn sound_frames(
         &self,
@@ -448,7 +445,7 @@
         found: &Found,
         after: Option<Header>,
         report: &mut Recovery,
-    ) -> Sound {
+    ) -> Vec<u8> {
         let most = found.longest();
         let limit = after.map(|header| usize::try_from(header.before).unwrap_or(usize::MAX));
         let end = limit.unwrap_or(most).min(most);
@@ -491,7 +488,7 @@
             }
         }
         bytes.truncate(sound);
-        Sound { bytes, end: sound }
+        bytes
     }
 
     /// Puts a whole new file in the place of one.
@@ -720,10 +717,7 @@
         self.folder_changed = true;
         for disk in &self.disks {
             // A try that failed may have left one of this name; nothing in it was ever acknowledged.
-            match disk.remove(&name) {
-                Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
-                _ => {}
-            }
+            remove_if_there(disk, &name)?;
             let file = disk.create(&name)?;
             file.write_at(0, &header.encode())?;
             files.push(Some(file));
@@ -782,10 +776,7 @@
 
     fn remove_files(&mut self, number: u64) -> io::Result<()> {
         for disk in &self.disks {
-            match disk.remove(&file_name(number)) {
-                Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
-                _ => {}
-            }
+            remove_if_there(disk, &file_name(number))?;
         }
         // Its absence must be durable before an older delete that it would undo is dropped.
         for disk in &self.disks {
@@ -823,9 +814,7 @@
             }
         }
         let Some(frame) = sound else {
-            if !self.damaged.contains(&number) {
-                self.damaged.push(number);
-            }
+            self.note_damage(number);
             return Err(failed);
         };
         for copy in bad {
@@ -902,8 +891,8 @@
 
     /// The next sound frame from `at` on, with where it begins; what is damaged is passed over.
     fn next_frame<'a>(&self, number: u64, image: &'a [u8], at: &mut usize) -> Option<(usize, Frame<'a>)> {
-        let begins = (*at..image.len()).find(|at| Frame::decode(number, image, *at).is_some())?;
-        let frame = Frame::decode(number, image, begins)?;
+        let (begins, frame) =
+            (*at..image.len()).find_map(|at| Some((at, Frame::decode(number, image, at)?)))?;
         *at = begins + frame.size();
         Some((begins, frame))
     }
@@ -930,12 +919,18 @@
                 }
             }
         }
-        if !self.whole(number, &image) && !self.damaged.contains(&number) {
-            self.damaged.push(number);
+        if !self.whole(number, &image) {
+            self.note_damage(number);
         }
         Ok(image)
     }
 
+    fn note_damage(&mut self, number: u64) {
+        if !self.damaged.contains(&number) {
+            self.damaged.push(number);
+        }
+    }
+
     fn whole(&self, number: u64, image: &[u8]) -> bool {
         let mut at = HEADER;
         while let Some(frame) = Frame::decode(number, image, at) {
--- a/src/net/transaction.rs
+++ b/src/net/transaction.rs
@@ -424,7 +424,7 @@
                 self.abandon(request, attempt, out);
                 self.ended(now, (request, attempt), Outcome::Timeout, &Load::new());
             }
-            Input::Due(Due::Intent(pass)) => self.stored(now, Wait::Pass(pass), false, out),
+            Input::Due(Due::Intent(pass)) => self.intent_stored(now, pass, false, out),
             Input::Due(Due::Joined(agent)) => {
                 // It may have run, and may run yet: no refusal would be true.
                 if self.unjoin(agent) {
@@ -549,20 +549,21 @@
     }
 
     fn stored(&mut self, now: f64, wait: Wait, durable: bool, out: &mut Vec<Command>) {
-        let (pass, id) = match wait {
-            Wait::Pass(pass) => (pass, None),
+        let id = match wait {
+            Wait::Pass(pass) => return self.intent_stored(now, pass, durable, out),
             Wait::Call(agent, id) => {
                 out.push(Command::Acknowledge(agent));
-                (0, Some(id))
+                id
             }
-            Wait::Nobody(id) => (0, Some(id)),
+            Wait::Nobody(id) => id,
         };
-        if let Some(id) = id {
-            if let Some(keeping) = self.keeping.as_mut().filter(|_| !durable) {
-                keeping.ledger.unwritten(&id);
-            }
-            return;
+        if let Some(keeping) = self.keeping.as_mut().filter(|_| !durable) {
+            keeping.ledger.unwritten(&id);
         }
+    }
+
+    /// The intent of a pass is durable, and the pass starts; or it never will be, and the job is refused.
+    fn intent_stored(&mut self, now: f64, pass: PassId, durable: bool, out: &mut Vec<Command>) {
         let Some(&key @ (request, _)) = self.passes.get(&pass) else { return };
         let Some(a) = self.attempt(pass).filter(|a| !a.cleared) else { return };
         if durable {
@@ -591,11 +592,6 @@
             return out.push(Command::Answer(agent, Answer::Failed));
         };
         let budget = submission.budget.unwrap_or(class.deadline).min(class.deadline);
-        let class_name = if tracing::enabled!(target: "postproxy::transaction", tracing::Level::DEBUG) {
-            class.name.clone()
-        } else {
-            String::new()
-        };
         let Some((submission, asker)) = self.known(agent, submission, now + budget, out) else { return };
         let request = self.next_request;
         self.next_request += 1;
@@ -618,7 +614,16 @@
             self.by_key.insert((submission.class, key.clone()), request);
         }
         let care = self.keeping.as_ref().map_or(Care::None, |keeping| keeping.care(submission.class));
-        let mut transaction = Transaction {
+        // A span that is off costs a look at a flag: its fields are then not made.
+        let span = tracing::debug_span!(
+            target: "postproxy::transaction",
+            "transaction",
+            id = %submission.payload.id,
+            class = self.settings.classes[submission.class as usize].name,
+            attempts = tracing::field::Empty,
+            answer = tracing::field::Empty
+        );
+        let transaction = Transaction {
             payload: Rc::new(submission.payload),
             agent: Some(agent),
             deadline: now + budget,
@@ -628,17 +633,8 @@
             asker,
             joined: Vec::new(),
             may_have_run: false,
-            span: tracing::Span::none(),
+            span,
         };
-        // A span that is off costs a look at a flag.
-        transaction.span = tracing::debug_span!(
-            target: "postproxy::transaction",
-            "transaction",
-            id = %transaction.payload.id,
-            class = class_name,
-            attempts = tracing::field::Empty,
-            answer = tracing::field::Empty
-        );
         self.transactions.insert(request, transaction);
         self.events.push_back(Event::Request(new));
     }
