Prefer the own zone only where own jobs are enough to hear of all workers

A trace of all 100 nodes, added up: jobs go to workers that hold 2.6 slots where the fleet's mean is 1.0 (first 2 s), 7.5 where it is 3.6 (at 18 s), and to the zones in 119 : 143 : 18 parts although 39 of 102 workers are in the third. All nodes with traffic keep to their own zone. Ruled out: dials (none failed), discovery (not one call failed), processor time (0.6 ms before the first attempt). Lines at fault: policy.rs place(), `near`: it compares the own zone's reported load with the mean's, but a node with 1.5 jobs a second that sends only to its own zone hears of no other, so both are the same figure for ever. Change: the preference counts only where the jobs taken in the time for which a report counts are as many as the workers. That holds in fleets of the old size and follows from what is heard, not from a fleet's size.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -155,6 +155,12 @@
         (mean + known).max(0.0) + w.own_before(f64::INFINITY)
     }
 
+    /// Whether own jobs are so many that their answers tell of all workers while reports count.
+    fn hears_all(&self, class: usize) -> bool {
+        let jobs = self.known.taken.since(self.now - HEARD * self.known.usual);
+        jobs >= self.known.ready_of[class].len()
+    }
+
     fn slots(&self, w: &Worker) -> f64 {
         self.known.slots_of.get(&w.entry.kind).copied().unwrap_or(0.0) // not known
     }
@@ -398,10 +404,13 @@
         let takes = |w: usize| trust && self.accepts(&workers[w], of) >= TRUST;
         let roomy = |w: &&usize| takes(**w) && self.room(&workers[**w], r);
         let mut best: Vec<usize> = wide.iter().filter(roomy).copied().collect();
-        // Exception: own zone first where crossing has a price, while it isn't much more loaded.
+        // Exception: own zone first where crossing has a price, while it isn't much more loaded. Danger: a
+        // dispatcher with few jobs never hears of the other zones, and all that hold a zone full stay in it.
         let zone = self.known.zone_load.get(&self.set.zone).copied().unwrap_or(0.0);
-        let near =
-            self.set.cross_zone_price > 0.0 && rounds == 0 && zone <= self.known.mean_load + ZONE_EXCESS;
+        let near = self.set.cross_zone_price > 0.0
+            && rounds == 0
+            && zone <= self.known.mean_load + ZONE_EXCESS
+            && self.hears_all(of);
         let local = |&w: &usize| !near || workers[w].entry.zone == self.set.zone;
         let wanted = if rounds == 0 { SAMPLE } else { usize::from(trust && rounds < ROUNDS) };
         let mut from = wide.clone();
