--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use postproxy::{Entry, Event, Health, ListKind, NewRequest, Outcome, Settings, WorkerId};
-use std::collections::{BTreeMap, VecDeque};
+use postproxy::{Entry, Health, ListKind, Outcome, Settings, WorkerId};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Guards against a zone that its own dispatchers fill while the others idle: with few jobs each, none of them
 /// ever hears of another zone. One with many jobs hears of all, and stays in its own while that is no fuller.
@@ -22,15 +22,7 @@
             while let Some((_, id, to)) = running.pop_front_if(|&mut (at, ..)| at <= bed.now) {
                 bed.answer(id, 0, to, Outcome::Ok, vec![0.0, 8.0]);
             }
-            let new = NewRequest {
-                request: id,
-                class: 2,
-                budget: 10.0,
-                hint: Some(0.5),
-                slots: 1.0,
-                ..NewRequest::default()
-            };
-            for to in sends(&bed.event(Event::Request(new))) {
+            for to in sends(&bed.request(id, 2)) {
                 *zones.entry(to.address[3] % 3).or_insert(0) += 1;
                 running.push_back((bed.now + 0.5, id, to));
             }
@@ -83,7 +75,7 @@
 #[test]
 fn thousands_of_workers_are_drawn_from() {
     let mut bed = Bed::new(settings(|_| ()), 5000);
-    let mut drawn = std::collections::BTreeSet::new();
+    let mut drawn = BTreeSet::new();
     for id in 1..=2000 {
         let to = sends(&bed.request(id, 2));
         assert_eq!(to.len(), 1);
