Open a door for operators: drains, workers out of use, and the inherited listener

Change: src/net/management.rs listens at mgmt, src/net/lifecycle.rs decides what a drain means, the decision module keeps bans by id beside the list's health, passes not written whole are withdrawn at a ban, and crates/inherit takes the listener over that RELAY_SOCKET_FD names, after checks. Where all workers of a class are out, its jobs are refused at once. A worker back in use is cold, and all nodes together owe it about one job beside what a cold one gets.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -13,6 +13,9 @@
 ///
 /// If the node can't be started, or the system's poller fails.
 pub fn run(args: Serve) -> Result<(), Failure> {
+    // Before anything is opened that could bear the number of an inherited descriptor.
+    let mut config = Config::from_env()?;
+    config.take_over()?;
     let (stop, signal) = UnixStream::pair()?;
     signal_hook::low_level::pipe::register(SIGINT, signal.try_clone()?)?;
     signal_hook::low_level::pipe::register(SIGTERM, signal)?;
@@ -23,7 +26,6 @@
     log.format = args.log_format.map_or(log.format, Into::into);
     log.levels = args.log_levels.unwrap_or_else(|| log.levels.clone());
     let _written_at_the_end = logs::start(log)?;
-    let mut config = Config::from_env()?;
     config.store = operator.store;
     let name = config.name.clone();
     let mut node = Node::new(config, stop)?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -380,6 +380,13 @@
         /// The request.
         request: RequestId,
     },
+    /// An operator takes a worker out of use, or back into it; it holds whatever the list says.
+    Use {
+        /// The worker.
+        worker: WorkerId,
+        /// It is to be used again.
+        again: bool,
+    },
     /// A timer came due.
     Timer {
         /// As set by [`Action::Timer`].
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -4,7 +4,7 @@
 use crate::interface::Settings;
 use crate::operator::StoreSection;
 use serde::Deserialize;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 
 /// A node's configuration.
 pub struct Config {
@@ -16,6 +16,12 @@
     pub discovery: SocketAddr,
     /// Seed of its random numbers.
     pub seed: u64,
+    /// Where operators call, if anywhere.
+    pub mgmt: Option<SocketAddr>,
+    /// The number of a descriptor that listens at `listen` already; see [`Config::take_over`].
+    pub inherited: Option<String>,
+    /// The listener behind it.
+    pub listener: Option<TcpListener>,
     /// How many descriptors it may hold.
     pub sockets: usize,
     /// How much memory it may use, in MiB.
@@ -37,6 +43,8 @@
     #[serde(default)]
     discovery: String,
     #[serde(default)]
+    mgmt: String,
+    #[serde(default)]
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -87,6 +95,21 @@
         Self::from_json(&text, variable).map_err(|e| format!("{path}: {e}"))
     }
 
+    /// Takes the inherited listener over, if one is named. Only at the program's start: it must have opened
+    /// nothing that could bear the number.
+    ///
+    /// # Errors
+    ///
+    /// If what is named is no listener at `listen`.
+    pub fn take_over(&mut self) -> Result<(), String> {
+        if let Some(number) = &self.inherited {
+            let taken = postproxy_inherit::listener(number, self.listen);
+            self.listener =
+                Some(taken.map_err(|e| format!("RELAY_SOCKET_FD: '{number}' {e}, not at {}", self.listen))?);
+        }
+        Ok(())
+    }
+
     /// Reads a configuration; a variable that is set goes before what the text says.
     ///
     /// # Errors
@@ -100,8 +123,17 @@
         };
         let seed = u64::from_str_radix(&raw.seed, 16)
             .map_err(|_| format!("seed: '{}' is no hexadecimal number", raw.seed))?;
+        let listen: SocketAddr = address("RELAY_LISTEN", raw.listen)?;
+        let named = variable("RELAY_MGMT").is_some() || !raw.mgmt.is_empty();
+        let mgmt: Option<SocketAddr> = named.then(|| address("RELAY_MGMT", raw.mgmt)).transpose()?;
+        if mgmt.is_some_and(|mgmt| mgmt == listen && listen.port() != 0) {
+            return Err(format!("RELAY_MGMT: {listen} is where user agents are listened for"));
+        }
         Ok(Self {
-            listen: address("RELAY_LISTEN", raw.listen)?,
+            listen,
+            mgmt,
+            inherited: variable("RELAY_SOCKET_FD"),
+            listener: None,
             discovery: address("RELAY_DISCOVERY", raw.discovery)?,
             name: variable("RELAY_NAME").unwrap_or(raw.name),
             seed,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -27,6 +27,8 @@
 pub mod http;
 pub mod keeper;
 pub mod keeping;
+pub mod lifecycle;
+pub mod management;
 pub mod node;
 pub mod proxy_pass;
 pub mod reactor;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -4,6 +4,8 @@
 use super::farm::Farm;
 use super::keeper::Keeper;
 use super::keeping::Keeping;
+use super::lifecycle::Lifecycle;
+use super::management::{self, Call, Door, Reply};
 use super::proxy_pass::ProxyPasses;
 use super::reactor::{self, Clock, Due, Owner, Reactor};
 use super::transaction::{self, Command, Hub, Input};
@@ -23,6 +25,8 @@
 const QUIET: u32 = 10;
 /// How often the farm's list is kept, if it has changed.
 const FARM_KEPT: f64 = 1.0;
+/// How often idle connections are looked at in a drain.
+const DRAIN_LOOK: f64 = 0.05;
 /// Descriptors kept for what is no connection.
 const SPARE: usize = 24;
 
@@ -67,10 +71,11 @@
     passes: ProxyPasses,
     farm: Farm,
     keeper: Option<Keeper>,
+    door: Option<Door>,
+    life: Lifecycle,
     stop: Signal,
     reload: Option<(Signal, Reload)>,
     address: SocketAddr,
-    stopping: bool,
     /// Looks in a row that found nothing owed.
     quiet: u32,
     /// Nothing is owed any more.
@@ -109,10 +114,13 @@
             }
             None => None,
         };
-        let listener =
-            reactor::listen(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
+        let listen = |at| reactor::listen(at).map_err(|e| format!("listening on {at}: {e}"));
+        let listener = config.listener.map_or_else(|| listen(config.listen), Ok)?;
+        let door = config.mgmt.map(listen).transpose()?;
+        let door = door.map(|listener| Door::new(&mut reactor, listener)).transpose()?;
         let address = listener.local_addr()?;
-        let sockets = config.sockets.saturating_sub(SPARE).max(16);
+        let sockets =
+            config.sockets.saturating_sub(SPARE + door.as_ref().map_or(0, |_| management::MOST)).max(16);
         // Three quarters of the memory hold what each user agent's connection can come to at most.
         let memory = (config.memory_mb << 20) / 4 * 3 / user_agent::MOST_HELD;
         let most = (sockets * 5 / 8).min(memory.max(8));
@@ -141,7 +149,9 @@
             reactor.timer(reactor.now + FARM_KEPT, Due::FarmKept);
         }
         let stop = Signal::new(&mut reactor, stop)?;
-        let (reload, stopping, quiet, done) = (None, false, 0, false);
+        let (reload, quiet, done) = (None, 0, false);
+        let mut life = Lifecycle::default();
+        life.start();
         Ok(Self {
             clock,
             reactor,
@@ -150,10 +160,11 @@
             passes,
             farm,
             keeper,
+            door,
+            life,
             stop,
             reload,
             address,
-            stopping,
             quiet,
             done,
             longest: 0.0,
@@ -185,6 +196,11 @@
         self.address
     }
 
+    /// Where operators call, if anywhere.
+    pub fn door(&self) -> Option<SocketAddr> {
+        self.door.as_ref()?.address().ok()
+    }
+
     /// Serves until it is told to stop and nothing is held any more.
     ///
     /// # Errors
@@ -213,6 +229,10 @@
     fn dispatch(&mut self, Event { key, readable, writable }: Event) {
         let reactor = &mut self.reactor;
         match reactor::owner(key) {
+            Owner::Door => {
+                let calls = self.door.as_mut().map(|door| door.ready(reactor, key, readable, writable));
+                self.called(calls.unwrap_or_default());
+            }
             Owner::Agent => self.agents.ready(reactor, key, readable, writable),
             Owner::Pass => self.passes.ready(reactor, key, readable, writable),
             Owner::Farm => self.farm.ready(reactor, key, readable, writable),
@@ -230,6 +250,23 @@
         let reactor = &mut self.reactor;
         match due {
             Due::Hub(due) => reactor.queue.push_back(Input::Due(due)),
+            Due::Caller(key) => {
+                if let Some(door) = &mut self.door {
+                    door.due(reactor, key);
+                }
+            }
+            Due::Callers => {
+                let calls = self.door.as_mut().map(|door| door.accept(reactor));
+                self.called(calls.unwrap_or_default());
+            }
+            Due::Drain => {
+                if let Some(idle) = self.life.idle(reactor.now) {
+                    self.agents.close_idle(reactor, idle);
+                }
+                if self.life.drained() && self.life.serves() {
+                    reactor.timer(reactor.now + DRAIN_LOOK, Due::Drain);
+                }
+            }
             Due::Agent(key, round) => self.agents.due(reactor, key, round),
             Due::Accept => self.agents.accept_due(reactor),
             Due::Pass(key, round) => self.passes.pass_due(reactor, key, round),
@@ -254,12 +291,57 @@
 
     fn stop(&mut self) {
         self.stop.take(&self.reactor);
-        if !std::mem::replace(&mut self.stopping, true) {
-            self.agents.stop();
+        if self.life.stop() {
+            self.heed();
             self.reactor.timer(self.reactor.now + ACCEPT_WINDOW, Due::WindUp);
         }
     }
 
+    /// Has the user agents' side go by the node's life.
+    fn heed(&mut self) {
+        self.agents.heed(self.life.wants(), self.life.closes());
+    }
+
+    /// Carries out operators' calls.
+    fn called(&mut self, calls: Vec<(usize, Call)>) {
+        for (key, call) in calls {
+            let reply = match call {
+                Call::Ready if self.life.serves() => Reply::Yes,
+                Call::Ready => Reply::NotNow,
+                Call::Drain => {
+                    self.drain();
+                    Reply::Yes
+                }
+                Call::Activate if self.life.activate() => {
+                    tracing::info!("activated");
+                    self.heed();
+                    Reply::Yes
+                }
+                Call::Activate => Reply::NotNow,
+                Call::Suspend(id) => {
+                    self.reactor.queue.push_back(Input::Use(key, id, false));
+                    continue;
+                }
+                Call::Resume(id) => {
+                    self.reactor.queue.push_back(Input::Use(key, id, true));
+                    continue;
+                }
+            };
+            if let Some(door) = &mut self.door {
+                door.answer(&mut self.reactor, key, reply);
+            }
+        }
+    }
+
+    fn drain(&mut self) {
+        if !self.life.drained() {
+            tracing::info!("draining");
+            self.reactor.timer(self.reactor.now + DRAIN_LOOK, Due::Drain);
+        }
+        self.life.drain(self.reactor.now);
+        self.heed();
+    }
+
     fn reload(&mut self) {
         let Some((signal, source)) = &mut self.reload else { return };
         // What was signalled before the source is asked is in what it gives; a later signal asks again.
@@ -282,6 +364,13 @@
                     Command::Abandon(pass, worker, payload, accepted) => {
                         self.passes.abandon(reactor, pass, worker, &payload.id, accepted);
                     }
+                    Command::Withdraw(pass) => self.passes.withdraw(reactor, pass),
+                    Command::Forget(worker) => self.passes.forget(reactor, worker),
+                    Command::Operator(key, reply) => {
+                        if let Some(door) = &mut self.door {
+                            door.answer(reactor, key, reply);
+                        }
+                    }
                     Command::Answer(agent, answer) => self.agents.answer(reactor, agent, &answer),
                     Command::Acknowledge(agent) => self.agents.acknowledge(reactor, agent),
                     Command::Write(writes, wait) => {
--- a/src/net/proxy_pass.rs
+++ b/src/net/proxy_pass.rs
@@ -187,7 +187,7 @@
         }
         if let Some(key) = self.by_pass.get(&pass).copied() {
             if self.silent(reactor.now, worker) {
-                self.distrust(reactor, worker);
+                self.forget(reactor, worker);
             }
             if let Some(session) = self.sessions.get_mut(&key) {
                 session.errands.errand = Errand::Other;
@@ -233,12 +233,24 @@
 
     /// Lets the idle connections to a worker go. Danger: one that has vanished leaves them open, and a job
     /// written to them has perhaps run; a connection that is not made proves that it has not.
-    fn distrust(&mut self, reactor: &mut Reactor, worker: SocketAddr) {
+    pub fn forget(&mut self, reactor: &mut Reactor, worker: SocketAddr) {
         for key in self.idle.remove(&worker).unwrap_or_default() {
             self.drop(reactor, key);
         }
     }
 
+    /// Gives a pass back whose last byte is not written: nothing ran, and its worker is not to blame. Only the
+    /// connection knows; what has been written whole goes on.
+    pub fn withdraw(&mut self, reactor: &mut Reactor, pass: PassId) {
+        let Some(key) = self.by_pass.get(&pass).copied() else { return };
+        let Some(session) = self.sessions.get_mut(&key) else { return };
+        if session.errands.errand == Errand::Pass(pass, false) {
+            session.connection.abort();
+            Caller { errands: &mut session.errands, reactor }.over(PassEnd::NoRoom, Load::new());
+            self.after(reactor, key);
+        }
+    }
+
     /// For how long a connection may have lain idle to be used. Danger: workers, or what stands before them,
     /// may let go of idle connections far earlier than they say, without a word until the next request, which
     /// then has perhaps run. One that broke so tells it of the others; it is forgotten as fast as it doubles.
@@ -250,7 +262,7 @@
     /// An idle connection to the worker that is still whole.
     fn pooled(&mut self, reactor: &mut Reactor, worker: SocketAddr) -> Option<usize> {
         if self.idle.contains_key(&worker) && self.silent(reactor.now, worker) {
-            self.distrust(reactor, worker);
+            self.forget(reactor, worker);
         }
         let most = self.usable(reactor.now);
         while let Some(key) = self.idle.get_mut(&worker).and_then(Vec::pop) {
@@ -314,7 +326,7 @@
             Caller { errands: &mut s.errands, reactor }.ended(&mut s.connection);
             self.after(reactor, key);
             if let Some(worker) = silent {
-                self.distrust(reactor, worker);
+                self.forget(reactor, worker);
             }
         }
     }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -15,6 +15,8 @@
 /// Whose a socket is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Owner {
+    /// The operators' door's.
+    Door,
     /// The listener's or a user agent's.
     Agent,
     /// A proxy pass's.
@@ -27,7 +29,7 @@
     Signal,
 }
 
-const OWNERS: [Owner; 5] = [Owner::Farm, Owner::Store, Owner::Pass, Owner::Agent, Owner::Signal];
+const OWNERS: [Owner; 6] = [Owner::Farm, Owner::Door, Owner::Store, Owner::Pass, Owner::Agent, Owner::Signal];
 
 /// Whose socket a key is.
 pub fn owner(key: usize) -> Owner {
@@ -39,6 +41,12 @@
 pub enum Due {
     /// The hub's.
     Hub(transaction::Due),
+    /// A caller at the operators' door.
+    Caller(usize),
+    /// Callers are taken again.
+    Callers,
+    /// A look at idle connections in a drain.
+    Drain,
     /// A user agent's connection, in its round.
     Agent(usize, u64),
     /// Accepting goes on.
@@ -131,7 +139,8 @@
     }
 
     /// Waits for sockets, or until the next timer is due; what comes of the same owner's rank stays together.
-    /// News of the farm come first: what the list says comes before all that might be sent by an older one.
+    /// News of the farm come first: what the list says comes before all that might be sent by an older one; then
+    /// operators' calls, which are owed an answer however busy the node is.
     ///
     /// # Errors
     ///
--- a/src/net/transaction.rs
+++ b/src/net/transaction.rs
@@ -2,12 +2,13 @@
 //! [`Dispatcher`]; it knows no sockets and no HTTP, so that another protocol can come through the same door.
 
 use super::keeping::{Asker, Care, Keeping};
+use super::management::Reply;
 use crate::interface::{
     Action, Entry, Event, ListKind, NewRequest, Note, Outcome, RequestId, Settings, SettingsError, WorkerId,
 };
 use crate::policy::Dispatcher;
 use postproxy_ledger::{Settled, Standing, Word, Write};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// The user agent's side of a transaction, as its own module numbers it.
@@ -137,6 +138,8 @@
     Disk(bool),
     /// News of the farm.
     Farm(ListKind, Vec<Member>),
+    /// A caller at the operators' door takes the worker of this name out of use, or back into it.
+    Use(usize, String, bool),
     /// A timer set by [`Command::Timer`] came due.
     Due(Due),
 }
@@ -202,6 +205,12 @@
     Start(PassId, std::net::SocketAddr, Rc<Payload>, f64),
     /// Give a proxy pass up; the worker has taken its job, or not yet.
     Abandon(PassId, std::net::SocketAddr, Rc<Payload>, bool),
+    /// Give a proxy pass back if its last byte is not written.
+    Withdraw(PassId),
+    /// Let the idle connections to a worker go.
+    Forget(std::net::SocketAddr),
+    /// Answer a caller at the operators' door.
+    Operator(usize, Reply),
     /// Give the final answer.
     Answer(AgentId, Answer),
     /// Acknowledge a call-back.
@@ -265,6 +274,8 @@
     workers: Vec<std::net::SocketAddr>,
     names: Vec<String>,
     numbers: HashMap<String, usize>,
+    /// Workers that operators have taken out of use.
+    banned: BTreeSet<usize>,
     transactions: BTreeMap<RequestId, Transaction>,
     /// Transactions by their payload's id and by their user agent.
     by_id: HashMap<String, RequestId>,
@@ -320,6 +331,7 @@
             workers: Vec::new(),
             names: Vec::new(),
             numbers: HashMap::new(),
+            banned: BTreeSet::new(),
             transactions: BTreeMap::new(),
             by_id: HashMap::new(),
             by_agent: HashMap::new(),
@@ -419,6 +431,10 @@
                 let entries = members.into_iter().map(|member| self.member(member)).collect();
                 self.events.push_back(Event::List { kind, entries });
             }
+            Input::Use(caller, name, again) => {
+                let reply = self.employ(now, &name, again, out);
+                out.push(Command::Operator(caller, reply));
+            }
             Input::Due(Due::Dispatcher(token)) => self.events.push_back(Event::Timer { token }),
             Input::Due(Due::Attempt(request, attempt)) => {
                 self.abandon(request, attempt, out);
@@ -440,6 +456,41 @@
         }
     }
 
+    /// Takes a worker out of use, or back into it. What runs there ends there; what has not been sent whole
+    /// goes elsewhere.
+    fn employ(&mut self, now: f64, name: &str, again: bool, out: &mut Vec<Command>) -> Reply {
+        let Some(&worker) = self.numbers.get(name) else { return Reply::Nobody };
+        if again != self.banned.contains(&worker) {
+            return Reply::Yes;
+        }
+        tracing::info!(worker = name, again, "an operator's word on a worker's use");
+        if again {
+            self.banned.remove(&worker);
+        } else {
+            self.banned.insert(worker);
+        }
+        // First of all: what comes back now must not go there again.
+        self.events.push_back(Event::Use { worker: worker_id(worker), again });
+        out.push(Command::Forget(self.workers[worker]));
+        if !again {
+            let open = |a: &Attempt| a.worker == worker && !a.written && !a.ended;
+            let attempts = |(&request, t): (&RequestId, &Transaction)| {
+                let at = t.attempts.iter().zip(0..).find(|(a, _)| open(a))?;
+                Some((request, at.1, at.0.pass, at.0.cleared))
+            };
+            for (request, attempt, pass, cleared) in
+                self.transactions.iter().filter_map(attempts).collect::<Vec<_>>()
+            {
+                if cleared {
+                    out.push(Command::Withdraw(pass));
+                } else {
+                    self.ended(now, (request, attempt), Outcome::Moot, &Load::new());
+                }
+            }
+        }
+        Reply::Yes
+    }
+
     /// Has changes written, if there are any.
     fn write(&mut self, writes: Vec<Write>, wait: Wait) {
         if !writes.is_empty() {
--- a/src/net/user_agent.rs
+++ b/src/net/user_agent.rs
@@ -108,14 +108,17 @@
     /// Nothing is accepted for now; when the next timer that goes on with it comes.
     paused: bool,
     wakes: f64,
-    stopping: bool,
+    /// New user agents are wanted; answers end their connections.
+    wants: bool,
+    closes: bool,
 }
 
 /// Calls back from one connection.
 struct Caller<'a> {
     agent: &'a mut Agent,
     settings: &'a Settings,
-    stopping: bool,
+    wants: bool,
+    closes: bool,
     reactor: &'a mut Reactor,
 }
 
@@ -175,12 +178,12 @@
 const CALLS: &str = "/v1/job-events";
 const BAD: Wanted = Wanted::Now(400, &[], "bad request\n");
 
-fn wanted(request: Request, settings: &Settings, stopping: bool) -> Wanted {
+fn wanted(request: Request, settings: &Settings, wants: bool) -> Wanted {
     let path = request.target.split('?').next().unwrap_or_default();
     let first = path.strip_prefix('/').unwrap_or_default().split('/').next().unwrap_or_default();
     match (path, request.method.as_str()) {
         // A 503 would count as an unavailable answer.
-        ("/-/ready", "GET" | "HEAD") if stopping => return Wanted::Now(500, &[], "stopping\n"),
+        ("/-/ready", "GET" | "HEAD") if !wants => return Wanted::Now(500, &[], "not ready\n"),
         ("/-/ready", "GET" | "HEAD") => return Wanted::Now(200, &[], "ready\n"),
         ("/-/ready", _) => return Wanted::Now(405, &[("Allow", "GET, HEAD")], "wrong method\n"),
         (CALLS, "POST") => return call(&request.body).map_or(BAD, Wanted::Call),
@@ -252,7 +255,7 @@
         body: &[u8],
     ) {
         let mut bytes = Vec::new();
-        let closes = self.agent.closes || self.stopping;
+        let closes = self.agent.closes || self.closes;
         http::write_response(&mut bytes, status, fields, body, closes);
         connection.send(&bytes, self);
         if closes {
@@ -304,7 +307,7 @@
                     self.agent.closes = !request.keeps;
                     (self.agent.told_on, self.agent.timed) = (false, false);
                     let head = request.method == "HEAD";
-                    match wanted(request, self.settings, self.stopping) {
+                    match wanted(request, self.settings, self.wants) {
                         Wanted::Now(status, fields, body) => {
                             // Who asks for what can't be served gives its place to those who don't.
                             self.agent.closes |= (400..500).contains(&status);
@@ -386,7 +389,8 @@
             most,
             paused: false,
             wakes: f64::INFINITY,
-            stopping: false,
+            wants: true,
+            closes: false,
         })
     }
 
@@ -438,20 +442,23 @@
         });
     }
 
-    /// From now on answers end their connections and the readiness check fails.
-    pub fn stop(&mut self) {
-        self.stopping = true;
+    /// Whether new user agents are wanted, which the readiness check tells, and whether answers end their
+    /// connections.
+    pub fn heed(&mut self, wants: bool, closes: bool) {
+        (self.wants, self.closes) = (wants, closes);
     }
 
-    /// Accepts what has come and closes what lies idle; whether nothing is left that is owed an answer.
-    pub fn wind_up(&mut self, reactor: &mut Reactor) -> bool {
-        self.accept(reactor);
+    /// Closes connections that have been idle for longer, but for what has arrived on them.
+    pub fn close_idle(&mut self, reactor: &mut Reactor, longer: f64) {
         let keys: Vec<usize> = self.sessions.keys().copied().collect();
-        for &key in &keys {
+        for key in keys {
+            let quiet =
+                |s: &Session| s.agent.phase == Phase::Reading && reactor.now - s.agent.since >= longer;
+            if !self.sessions.get(&key).is_some_and(quiet) {
+                continue;
+            }
             // What has arrived is taken first.
             self.ready(reactor, key, true, false);
-        }
-        for key in keys {
             self.with(reactor, key, |connection, caller| {
                 let idle = caller.agent.phase == Phase::Reading && !caller.agent.begun(connection);
                 if idle && connection.state() == State::Open && connection.flushed() {
@@ -460,6 +467,12 @@
                 }
             });
         }
+    }
+
+    /// Accepts what has come and closes what lies idle; whether nothing is left that is owed an answer.
+    pub fn wind_up(&mut self, reactor: &mut Reactor) -> bool {
+        self.accept(reactor);
+        self.close_idle(reactor, 0.0);
         self.sessions.is_empty()
     }
 
@@ -470,8 +483,8 @@
         act: impl FnOnce(&mut Connection<TcpStream>, &mut Caller<'_>),
     ) {
         let Some(session) = self.sessions.get_mut(&key) else { return };
-        let (settings, stopping) = (&self.settings, self.stopping);
-        let mut caller = Caller { agent: &mut session.agent, settings, stopping, reactor };
+        let (settings, wants, closes) = (&self.settings, self.wants, self.closes);
+        let mut caller = Caller { agent: &mut session.agent, settings, wants, closes, reactor };
         act(&mut session.connection, &mut caller);
         let over = session.connection.state() == State::Ended;
         if over {
@@ -742,7 +755,7 @@
         for (target, fields) in cases {
             let text = format!("POST {target} HTTP/1.1\r\n{fields}\r\n");
             let wanted = match http::read_request(text.as_bytes()) {
-                Ok(Read::Whole(request, _)) => wanted(request, &settings, false),
+                Ok(Read::Whole(request, _)) => wanted(request, &settings, true),
                 Ok(_) => panic!("{text:?} is whole"),
                 Err(flaw) => Wanted::Now(flaw.status(), &[], "bad request\n"),
             };
@@ -785,9 +798,9 @@
             memory: Some(0.5),
             repeat: true,
         };
-        assert_eq!(wanted(request, &settings, false), Wanted::Transaction(Box::new(submission)));
+        assert_eq!(wanted(request, &settings, true), Wanted::Transaction(Box::new(submission)));
         let bare = read("POST /reroute HTTP/1.1\r\nX-Request-Id: a\r\nX-Cost-Hint: much\r\n\r\n");
-        let Wanted::Transaction(bare) = wanted(bare, &settings, false) else { panic!("no transaction") };
+        let Wanted::Transaction(bare) = wanted(bare, &settings, true) else { panic!("no transaction") };
         assert_eq!((bare.key, bare.budget, bare.hint, bare.slots, bare.repeat), (0, None, None, None, false));
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,6 +36,8 @@
 const TURNED_AWAY: f64 = 0.1; // of its tickets a worker keeps that turned a class away: it may be over
 const EJECT_SHARE: f64 = 0.5; // with more ejected the cause is not the workers: none is left out
 const COLD_SHARE: f64 = 0.7; // of the multiple that tips a worker over: overload multiplies what arrives
+const BACK: f64 = 1.0; // jobs that all dispatchers together owe a worker back in use, beside what is drawn
+const BACK_SPREAD: f64 = 3.0; // seconds in which they are given: an operator looks whether it is used again
 const COLD_BUDGET: f64 = 0.8; // of a cold worker's budget for a window: more is not for one dispatcher
 const SHORT: f64 = 0.1; // with more first tries of so much less time, a later one's says nothing of its age
 const WINDOW_SHARE: f64 = 0.9; // of a keyed job's window: sending again takes time
@@ -90,6 +92,7 @@
                 _ => {}
             },
             Event::Probed { worker, outcome, report, .. } => self.probed(*worker, *outcome, report),
+            Event::Use { worker, again } => self.employ(*worker, *again),
             Event::Peer => {}
         }
         out.append(&mut self.out);
@@ -193,8 +196,8 @@
 
     /// Share of its capacity that a worker has at least: it rises evenly from its start.
     fn warmth(&self, w: &Worker) -> f64 {
-        let share = (self.now - w.entry.started).max(0.0) / self.set.cold.max(self.set.tick);
-        let cold = w.entry.started > 0.0 && share < 1.0;
+        let share = (self.now - w.started()).max(0.0) / self.set.cold.max(self.set.tick);
+        let cold = w.started() > 0.0 && share < 1.0;
         if cold { self.set.cold_from + (1.0 - self.set.cold_from) * share } else { 1.0 }
     }
 
@@ -266,8 +269,8 @@
         let (now, worker, class) = (self.now, &self.known.workers[w], &self.set.classes[r.class]);
         // Answer: never after the end, never so late that no answer can come.
         let answer = now < r.deadline && r.attempts.len() < self.set.max_attempts as usize && !r.streaming;
-        // Drain: nothing new once told, without using up the grace.
-        let drain = worker.entry.health == Health::Ready;
+        // Drain: nothing new once told, by the list or an operator, without using up the grace.
+        let drain = self.known.usable(&worker.entry);
         // Effect: what may have run goes again only as its class allows.
         let effect = (self.set.second_copies || r.out() == 0)
             && match class.effect {
@@ -298,6 +301,10 @@
     /// Danger: all dispatchers together push over a cold worker, whose empty queue wins every draw. Jobs go
     /// there only with a pass; summed over all, passes stay under its share of the fleet's capacity now.
     fn roll_pass(&mut self) -> Option<usize> {
+        let owed = |&w: &usize| self.known.workers[w].owed.is_some_and(|at| at <= self.now);
+        if let Some(w) = self.known.started.iter().copied().find(owed) {
+            return Some(w);
+        }
         let mut at = self.rng.uniform() * self.known.all_size / (COLD_SHARE * self.set.fall_multiple);
         self.known.started.iter().copied().find(|&w| {
             let (warmth, size) = (self.warmth(&self.known.workers[w]), self.size(&self.known.workers[w]));
@@ -374,7 +381,7 @@
     /// Sends a request's next attempt by lottery, after asking a few workers where that helps; or holds it.
     fn place(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id) else { return };
-        if self.now >= self.hope(r) {
+        if self.now >= self.hope(r) || self.all_out(r.class) {
             return self.finish(id, true);
         }
         let (of, rounds, ran, copy) = (r.class, r.rounds, r.ran(), r.out() > 0);
@@ -391,7 +398,8 @@
         narrow(&mut wide, |&w| !r.attempts.iter().any(|a| a.worker == w));
         narrow(&mut wide, |&w| self.slots(&workers[w]) == 0.0 || self.slots(&workers[w]) >= r.need);
         // A pass is worth its draw: a cold worker that had to be drawn as well would stay idle.
-        if let Some(w) = r.pass.filter(|w| wide.contains(w) && self.wait(&workers[*w]) <= 0.0) {
+        let idle = |w: &Worker| w.owed.is_some() || self.wait(w) <= 0.0;
+        if let Some(w) = r.pass.filter(|w| wide.contains(w) && idle(&workers[*w])) {
             return self.send(id, w);
         }
         let well = |&w: &usize| workers[w].ejected_until <= self.now;
@@ -479,6 +487,7 @@
         self.known.retries -= f64::from(u8::from(r.out() > 0));
         let Some(r) = self.requests.get_mut(&id) else { return };
         let worker = &mut self.known.workers[w];
+        worker.owed = None;
         worker.own.push(Own { key: (id, number), need: r.need, work: r.work, sent: self.now, until: None });
         if number > 0 {
             self.known.further.push(self.now);
@@ -634,10 +643,51 @@
             if entry.started > worker.entry.started {
                 (worker.report, worker.failures, worker.ejected_until) = (None, 0, 0.0);
             }
+            let start_then = known.banned.get(&entry.worker).copied().unwrap_or(worker.entry.started);
+            if entry.started > start_then {
+                worker.back = 0.0; // its true start is told
+            }
             worker.entry = Entry { size: sound(entry.size).unwrap_or(0.0), ..entry.clone() };
         }
-        let ready: Vec<usize> =
-            (0..known.workers.len()).filter(|&w| known.workers[w].entry.health == Health::Ready).collect();
+        self.sort();
+    }
+
+    /// An operator's ban, or its end. A worker back in use was most likely restarted: it is cold and nothing
+    /// known of it holds, yet it is owed a job soon. Danger: all dispatchers owe it one at the same moment.
+    fn employ(&mut self, id: WorkerId, again: bool) {
+        let at = self.known.index.get(&id).copied();
+        let started = at.map_or(0.0, |w| self.known.workers[w].entry.started);
+        if !again {
+            self.known.banned.entry(id).or_insert(started);
+        } else if let Some(before) = self.known.banned.remove(&id) {
+            let owes = self.rng.uniform() * f64::from(self.set.balancers.max(1)) < BACK;
+            let owed = owes.then_some(self.now + self.rng.uniform() * BACK_SPREAD);
+            let back = if started > before { 0.0 } else { self.now };
+            if let Some(w) = at {
+                let worker = &mut self.known.workers[w];
+                let (entry, own) = (worker.entry.clone(), std::mem::take(&mut worker.own));
+                *worker = Worker { entry, own, back, owed, ..Worker::default() };
+            }
+        }
+        self.sort();
+        let waits = |(&id, r): (&RequestId, &Request)| (r.out() == 0 && self.all_out(r.class)).then_some(id);
+        for id in self.requests.iter().filter_map(waits).collect::<Vec<_>>() {
+            self.finish(id, true);
+        }
+    }
+
+    /// Whether operators have taken all workers out that a class could go to.
+    fn all_out(&self, class: usize) -> bool {
+        let entry = |id: &WorkerId| Some(&self.known.workers[*self.known.index.get(id)?].entry);
+        let fits = |id: &WorkerId| entry(id).is_some_and(|e| admits(&self.set.classes[class], e));
+        self.known.ready_of[class].is_empty() && self.known.banned.keys().any(fits)
+    }
+
+    /// Sorts the workers that may be used.
+    fn sort(&mut self) {
+        let known = &self.known;
+        let usable = |&w: &usize| known.usable(&known.workers[w].entry);
+        let ready: Vec<usize> = (0..known.workers.len()).filter(usable).collect();
         self.known.all_size = ready.iter().map(|&w| self.size(&self.known.workers[w])).sum();
         let entry = |w: &usize| &self.known.workers[*w].entry;
         let mut cells = BTreeMap::<_, Vec<usize>>::new();
@@ -645,7 +695,8 @@
         self.known.cells = cells;
         let among = |class: &Class| ready.iter().copied().filter(|w| admits(class, entry(w))).collect();
         self.known.ready_of = self.set.classes.iter().map(among).collect();
-        self.known.started = ready.iter().copied().filter(|w| entry(w).started > 0.0).collect();
+        self.known.started =
+            ready.iter().copied().filter(|&w| self.known.workers[w].started() > 0.0).collect();
     }
 
     fn ask_in(&mut self, after: f64) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a dispatcher remembers: plain types of `src/policy.rs`, without any decision.
 
-use crate::interface::{Entry, RequestId, WorkerId};
+use crate::interface::{Entry, Health, RequestId, WorkerId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A load report as it is used: jobs held, free memory, time of arrival.
@@ -34,9 +34,18 @@
     pub probed: Option<f64>,
     /// How it answered each class last, where known: 1 taken, 0 turned away; and when.
     pub answered: BTreeMap<usize, (f64, f64)>,
+    /// When it came back into use, where the list has not told since of a start in its time out; 0 for never.
+    pub back: f64,
+    /// Since then it is owed a job, from this time on.
+    pub owed: Option<f64>,
 }
 
 impl Worker {
+    /// Its latest start, as far as is known; 0 for long ago.
+    pub fn started(&self) -> f64 {
+        self.entry.started.max(self.back)
+    }
+
     /// Slots of the own jobs there that were sent before.
     pub fn own_before(&self, at: f64) -> f64 {
         self.own.iter().filter(|o| o.sent < at).map(|o| o.need).sum()
@@ -140,6 +149,8 @@
 pub struct Known {
     pub workers: Vec<Worker>,
     pub index: BTreeMap<WorkerId, usize>,
+    /// Workers that an operator has taken out of use, each with its start as it was told then.
+    pub banned: BTreeMap<WorkerId, f64>,
     /// Ready workers that each class may go to; ready ones with a start; sum of the ready ones' sizes.
     pub ready_of: Vec<Vec<usize>>,
     pub started: Vec<usize>,
@@ -193,6 +204,11 @@
             ..Self::default()
         }
     }
+    /// Whether anything new may go to a worker: it is ready, and no operator has taken it out.
+    pub fn usable(&self, entry: &Entry) -> bool {
+        entry.health == Health::Ready && !self.banned.contains_key(&entry.worker)
+    }
+
     /// Notes a worker among the `most` heard of last.
     pub fn hear(&mut self, w: usize, most: usize) {
         self.heard.push_back(w);
--- /dev/null
+++ b/tests/bans.rs
@@ -0,0 +1,159 @@
+//! Workers that operators take out of use, in the decision module: against random lists, reports and calls, and how
+//! one comes back. Fixed seeds.
+
+mod common;
+
+use common::*;
+use postproxy::{Action, Event, Health, ListKind, Outcome, WorkerId};
+use rand_core::{RngCore, SeedableRng};
+use std::collections::BTreeSet;
+
+fn employ(bed: &mut Bed, n: u16, again: bool) -> Vec<Action> {
+    bed.event(Event::Use { worker: worker(n), again })
+}
+
+/// Guards against anything new that goes to a worker out of use, whatever the list says of it meanwhile, and
+/// against a request that is left without an answer when all are out.
+#[test]
+fn nothing_goes_to_a_worker_out_of_use_in_any_order_of_news() {
+    let mut to_others = 0;
+    for seed in 0..60 {
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+        let mut bed = Bed::new(settings(|_| {}), 6);
+        let (mut due, mut banned, mut out) = (Vec::new(), BTreeSet::<WorkerId>::new(), Vec::new());
+        let (mut next, mut open) = (1, BTreeSet::new());
+        for _ in 0..400 {
+            let mut pick = |n: u32| rng.next_u32() % n;
+            let (what, n, flip) = (pick(10), pick(6) as u16, pick(2) == 0);
+            let actions = match what {
+                0 | 1 => {
+                    let again = flip || what == 1 && banned.len() > 3;
+                    if again {
+                        banned.remove(&worker(n))
+                    } else {
+                        banned.insert(worker(n))
+                    };
+                    employ(&mut bed, n, again)
+                }
+                2 => {
+                    let kind = if flip { ListKind::Full } else { ListKind::Cached };
+                    bed.list(kind, (0..6).filter(|m| flip || *m != n).map(entry).collect())
+                }
+                3 => {
+                    let health = [Health::Ready, Health::Draining, Health::Gone][pick(3) as usize];
+                    let started = if flip { bed.now } else { 0.0 };
+                    bed.list(ListKind::Delta, vec![postproxy::Entry { started, ..with_health(n, health) }])
+                }
+                4 | 5 if !out.is_empty() => {
+                    let (request, attempt, to) = out.swap_remove(pick(out.len() as u32) as usize);
+                    let outcome =
+                        [Outcome::Ok, Outcome::Full, Outcome::Reset, Outcome::Moot][pick(4) as usize];
+                    bed.answer(request, attempt, to, outcome, vec![pick(9) as f32, pick(5) as f32])
+                }
+                6 => {
+                    let until = bed.now + f64::from(pick(100)) / 100.0;
+                    bed.run(until, &mut due)
+                }
+                _ => {
+                    open.insert(next);
+                    next += 1;
+                    bed.request(next - 1, pick(3) as u8)
+                }
+            };
+            due.extend(timers(&actions));
+            for to in sends(&actions) {
+                assert!(!banned.contains(&to), "seed {seed}: sent to {to:?}, which is out of use");
+                to_others += 1;
+            }
+            for action in &actions {
+                match action {
+                    Action::Send { request, worker, .. } => {
+                        let attempt = out.iter().filter(|(r, ..)| r == request).count() as u16;
+                        out.push((*request, attempt, *worker));
+                    }
+                    Action::Refuse { request, .. } | Action::Fail { request } => {
+                        assert!(open.remove(request), "seed {seed}: a second answer to {request}");
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    assert!(to_others > 2000, "{to_others} sends are too few to tell");
+}
+
+/// Guards against a job that is held to its deadline where operators have taken out all that could run it.
+#[test]
+fn with_all_workers_out_the_answer_comes_at_once() {
+    let mut bed = Bed::new(settings(|_| {}), 2);
+    employ(&mut bed, 0, false);
+    employ(&mut bed, 1, false);
+    assert!(refused(&bed.request(1, 0)) && refused(&bed.request(2, 2)));
+    employ(&mut bed, 0, true);
+    assert_eq!(sends(&bed.request(3, 0)), [worker(0)]);
+    // One that was held when the last goes out: told at once, too.
+    let mut bed = Bed::new(settings(|_| {}), 2);
+    bed.list(ListKind::Delta, vec![with_health(1, Health::Draining)]);
+    let actions = bed.request(1, 0);
+    assert_eq!(sends(&actions), [worker(0)]);
+    assert!(sends(&bed.outcome(1, 0, worker(0), Outcome::Full)).len() <= 1);
+    let actions = employ(&mut bed, 0, false);
+    let later = bed.outcome(1, 1, worker(0), Outcome::Moot);
+    assert!(refused(&actions) || refused(&later), "{actions:?} {later:?}");
+}
+
+/// How many jobs a fleet of so many dispatchers gives worker 3 in 5 s that came back into use, or that the list
+/// says has started, with a job a second each.
+fn given(fleet: u16, seed: u64, banned: bool) -> usize {
+    let mut given = 0;
+    for n in 0..fleet {
+        let settings = settings(|s| s["balancers"] = fleet.into());
+        let dispatcher =
+            postproxy::Dispatcher::new(settings, seed * 1000 + u64::from(n)).expect("a dispatcher");
+        let mut bed = Bed { dispatcher, now: 100.0 };
+        bed.list(ListKind::Full, (0..8).map(entry).collect());
+        if banned {
+            employ(&mut bed, 3, false);
+            bed.now += 5.0;
+            employ(&mut bed, 3, true);
+            bed.list(ListKind::Delta, vec![entry(3)]);
+        } else {
+            bed.now += 5.0;
+            bed.list(ListKind::Delta, vec![postproxy::Entry { started: bed.now, ..entry(3) }]);
+        }
+        for request in 1..=5 {
+            bed.now += 1.0;
+            let to = sends(&bed.request(request, 2))[0];
+            given += usize::from(to == worker(3));
+            bed.outcome(request, 0, to, Outcome::Ok);
+        }
+    }
+    given
+}
+
+/// Guards against a worker back in use that stays idle because nothing is known of it, and against one that all
+/// dispatchers give a job at once, or that is taken for warm: it was restarted while it was out. All together owe
+/// it about one job beside what any cold worker gets.
+#[test]
+fn a_worker_back_in_use_gets_work_soon_and_is_cold() {
+    let rounds = 40;
+    let sum = |banned| (0..rounds).map(|seed| given(12, seed, banned)).sum::<usize>() as f64 / rounds as f64;
+    let (back, cold) = (sum(true), sum(false));
+    assert!((0.4..1.6).contains(&(back - cold)), "{back} against {cold}");
+    for seed in 0..20 {
+        let settings = settings(|s| s["balancers"] = 1.into());
+        let dispatcher = postproxy::Dispatcher::new(settings, seed).expect("a dispatcher");
+        let mut bed = Bed { dispatcher, now: 100.0 };
+        bed.list(ListKind::Full, (0..8).map(entry).collect());
+        employ(&mut bed, 3, false);
+        employ(&mut bed, 3, true);
+        let mut first = None;
+        for request in 1..60 {
+            bed.now += 0.05;
+            let actions = bed.request(request, 2);
+            first = first.or(sends(&actions).contains(&worker(3)).then_some(bed.now - 100.0));
+            bed.outcome(request, 0, sends(&actions)[0], Outcome::Ok);
+        }
+        assert!(first.is_some(), "seed {seed}: the only dispatcher owes it a job within 3 s");
+    }
+}
--- a/tests/transaction.rs
+++ b/tests/transaction.rs
@@ -1,5 +1,6 @@
 //! The hub without sockets: one final answer, one outcome for each send, call-backs in any order.
 
+use postproxy::net::management::Reply;
 use postproxy::net::transaction::{
     Answer, Command, Due, Hub, Input, JobCall, JobState, Load, Member, PassEnd, PassId, Payload, Submission,
 };
@@ -250,3 +251,63 @@
     assert_eq!(report[..3], [1.0, 0.5, 4.0]);
     assert!(bed.hub.report(&load(&[("cpu", 1.0)])).is_empty());
 }
+
+/// Guards against a ban that is forgotten with the list, that leaves unsent what was on its way there, or that
+/// tells what has been sent whole to run elsewhere, too.
+#[test]
+fn a_worker_out_of_use_gets_nothing_more_and_keeps_what_it_has() {
+    let mut bed = Bed::new(2);
+    let employ = |bed: &mut Bed, name: &str, again| bed.tell(Input::Use(9, name.into(), again));
+    let reply = |out: &[Command]| {
+        out.iter().find_map(|c| if let Command::Operator(9, reply) = c { Some(*reply) } else { None })
+    };
+    assert_eq!(reply(&employ(&mut bed, "s-9", false)), Some(Reply::Nobody));
+    assert_eq!(reply(&employ(&mut bed, "s-9", true)), Some(Reply::Nobody));
+    assert_eq!(reply(&employ(&mut bed, "s-1", true)), Some(Reply::Yes), "it was never out");
+    let (unsent, to) = start(&bed.submit("a", 1)).expect("a pass");
+    let (sent, _) = loop {
+        let (pass, from) = start(&bed.tell(Input::Arrived(
+            3,
+            Submission {
+                payload: Payload { id: format!("b{}", bed.now), method: "POST".into(), ..Payload::default() },
+                class: 1,
+                ..Submission::default()
+            },
+        )))
+        .expect("a pass");
+        bed.tell(Input::Written(pass));
+        if from == to {
+            break (pass, from);
+        }
+        bed.now += 0.01;
+    };
+    let out = employ(&mut bed, &to, false);
+    assert_eq!(reply(&out), Some(Reply::Yes));
+    assert!(out.iter().any(|c| matches!(c, Command::Withdraw(pass) if *pass == unsent)));
+    assert!(!out.iter().any(|c| matches!(c, Command::Withdraw(pass) if *pass == sent)));
+    assert!(out.iter().any(|c| matches!(c, Command::Forget(_))));
+    assert_eq!(reply(&employ(&mut bed, &to, false)), Some(Reply::Yes), "twice is once");
+    // What never ran goes elsewhere; also after a whole list that names the worker as ready.
+    let (_, other) =
+        start(&bed.tell(Input::Pass(unsent, PassEnd::NoRoom, Load::new()))).expect("another pass");
+    assert_ne!(other, to);
+    let member = |n: u16| Member {
+        id: format!("s-{n}"),
+        address: ([127, 0, 0, 1], 9000 + n).into(),
+        entry: Entry { size: 1.0, started: 1000.0, ..Entry::default() },
+    };
+    bed.tell(Input::Farm(ListKind::Full, vec![member(0), member(1)]));
+    for n in 0..20 {
+        let (_, from) = start(&bed.submit(&format!("c{n}"), 0)).expect("a pass");
+        assert_ne!(from, to);
+    }
+    assert_eq!(reply(&employ(&mut bed, &other, false)), Some(Reply::Yes));
+    let out = bed.submit("d", 0);
+    assert!(
+        out.iter().any(|c| matches!(c, Command::Answer(1, Answer::Unavailable(_)))),
+        "all are out: {out:?}"
+    );
+    assert_eq!(reply(&employ(&mut bed, &to, true)), Some(Reply::Yes));
+    let (_, from) = start(&bed.submit("e", 0)).expect("a pass");
+    assert_eq!(from, to, "one call back undoes two out");
+}
