--- /dev/null
+++ b/crates/handover/tests/link.rs
@@ -0,0 +1,146 @@
+//! Two links against each other, cut anywhere, and one against whatever bytes come. Fixed seeds.
+
+use postproxy_handover::{
+    Fault, HELLO, Link, MOST_FRAME, Message, News, Role, Tale, VERSION, frame, greeting,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+fn link(role: Role) -> Link {
+    Link::new(role, "n1", "127.0.0.1:80", 100.0)
+}
+
+/// What a side has sent at first.
+fn first(link: &Link) -> Vec<u8> {
+    [greeting(), frame(&link.hello())].concat()
+}
+
+fn received(link: &mut Link, bytes: &[u8]) -> Result<Vec<News>, Fault> {
+    let mut news = Vec::new();
+    link.receive(bytes, &mut news).map(|()| news)
+}
+
+/// Both sides after the greeting, the older one has told all.
+fn joined() -> (Link, Link) {
+    let (mut older, mut newer) = (link(Role::Older), link(Role::Newer));
+    assert_eq!(received(&mut older, &first(&newer)), Ok(vec![News::Greeted]));
+    assert_eq!(received(&mut newer, &first(&older)), Ok(vec![News::Greeted]));
+    assert!(!older.joined() && !newer.joined());
+    older.told();
+    assert_eq!(received(&mut newer, &frame(&Message::Told)), Ok(vec![News::Told]));
+    assert!(older.joined() && newer.joined());
+    (older, newer)
+}
+
+fn tale() -> impl Strategy<Value = Tale> {
+    let id = "[a-z0-9]{0,12}";
+    prop_oneof![
+        (id, any::<bool>()).prop_map(|(worker, again)| Tale::Use { worker, again }),
+        (any::<bool>(), 0f32..9.0).prop_map(|(on, ago)| Tale::Drain { on, ago }),
+        proptest::collection::vec(any::<u8>(), 0..600).prop_map(Tale::List),
+        (id, any::<bool>()).prop_map(|(id, counts)| Tale::Taken { id, counts }),
+        (id, any::<u16>(), id, 0f32..9.0, any::<bool>()).prop_map(|(id, attempt, worker, ago, counts)| {
+            Tale::Sent { id, attempt, worker, need: 1.0, work: 0.5, ago, counts }
+        }),
+        (id, any::<u16>()).prop_map(|(id, attempt)| Tale::Ended { id, attempt }),
+        id.prop_map(|id| Tale::Over { id }),
+        proptest::collection::vec(0f32..9.0, 0..50)
+            .prop_map(|taken| Tale::Past { taken, further: vec![1.0] }),
+    ]
+}
+
+fn run<S: Strategy>(cases: u32, strategy: S, test: impl Fn(S::Value) -> Result<(), TestCaseError>) {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, rng).run(&strategy, test).expect("it holds");
+}
+
+/// Guards against a message that is lost, doubled or changed by where its bytes are cut.
+#[test]
+fn what_is_told_arrives_however_it_is_cut() {
+    let cuts = proptest::collection::vec(1usize..40, 1..20);
+    run(400, (proptest::collection::vec(tale(), 0..20), cuts), |(tales, cuts)| {
+        let (_, mut newer) = joined();
+        let bytes: Vec<u8> = tales.iter().flat_map(|t| frame(&Message::Tale(t.clone()))).collect();
+        let (mut news, mut rest, mut cuts) = (Vec::new(), &bytes[..], cuts.iter().cycle());
+        while !rest.is_empty() {
+            let size = rest.len().min(*cuts.next().expect("a cycle"));
+            newer.receive(&rest[..size], &mut news).expect("sound messages");
+            rest = &rest[size..];
+        }
+        prop_assert_eq!(news, tales.into_iter().map(News::Tale).collect::<Vec<_>>());
+        Ok(())
+    });
+}
+
+/// Guards against bytes that panic, are held without a bound, or are taken for a greeting.
+#[test]
+fn foreign_bytes_end_in_a_fault() {
+    run(2000, proptest::collection::vec(any::<u8>(), 0..300), |bytes| {
+        let mut older = link(Role::Older);
+        if let Ok(news) = received(&mut older, &bytes) {
+            prop_assert!(news.is_empty(), "{:?}", news);
+            prop_assert!(HELLO.starts_with(&bytes[..bytes.len().min(HELLO.len())]));
+        }
+        // Behind a true greeting, too.
+        let (_, mut newer) = joined();
+        let _ = received(&mut newer, &bytes);
+        Ok(())
+    });
+}
+
+/// Guards against going by another version, another node, a message out of turn, or a frame of any length.
+#[test]
+fn what_can_not_be_gone_by_is_named() {
+    let mut other = HELLO.to_vec();
+    other.extend((VERSION + 1).to_be_bytes());
+    assert_eq!(received(&mut link(Role::Older), &other), Err(Fault::Version(VERSION + 1)));
+    assert_eq!(received(&mut link(Role::Older), b"GET / HTTP/1.1"), Err(Fault::Foreign));
+    let foreign = Link::new(Role::Newer, "n2", "127.0.0.1:80", 100.0);
+    assert!(matches!(received(&mut link(Role::Older), &first(&foreign)), Err(Fault::OtherNode(_))));
+    let long = [greeting(), (MOST_FRAME as u32 + 1).to_be_bytes().to_vec()].concat();
+    assert_eq!(received(&mut link(Role::Older), &long), Err(Fault::Long(MOST_FRAME as u32 + 1)));
+    let early = [greeting(), frame(&Message::Leaves)].concat();
+    assert_eq!(received(&mut link(Role::Older), &early), Err(Fault::OutOfTurn));
+    let client = Message::Client { input: Vec::new(), useful: true };
+    let (mut older, mut newer) = joined();
+    for message in
+        [link(Role::Older).hello(), Message::Told, Message::Called { number: 3, known: true }, client.clone()]
+    {
+        let (_, mut newer) = joined();
+        assert_eq!(received(&mut newer, &frame(&message)), Err(Fault::OutOfTurn), "{message:?}");
+    }
+    assert_eq!(
+        received(&mut older, &frame(&Message::Told)),
+        Err(Fault::OutOfTurn),
+        "only the newer is told all"
+    );
+    assert_eq!(received(&mut newer, &frame(&Message::Leaves)), Ok(vec![News::Leaves]));
+    assert_eq!(received(&mut newer, &frame(&client)), Ok(vec![News::Client(Vec::new(), true)]));
+    let mut empty = 0u32.to_be_bytes().to_vec();
+    assert_eq!(received(&mut newer, &empty), Err(Fault::Malformed));
+    empty = [3u32.to_be_bytes().to_vec(), vec![255, 255, 255]].concat();
+    assert_eq!(received(&mut joined().0, &empty), Err(Fault::Malformed));
+}
+
+/// Guards against a word that reaches another call, a call that waits for ever, and a greeting that does.
+#[test]
+fn each_call_has_its_word_or_its_time() {
+    let (mut older, mut newer) = joined();
+    let one = newer.call(100.0, 11, b"a".to_vec());
+    let two = newer.call(100.5, 22, b"b".to_vec());
+    let news = received(&mut older, &[frame(&one), frame(&two)].concat()).expect("calls");
+    let [News::Call(first, a), News::Call(second, b)] = &news[..] else { panic!("{news:?}") };
+    assert_eq!((&a[..], &b[..], newer.waiting()), (&b"a"[..], &b"b"[..], vec![11, 22]));
+    let word = frame(&Message::Called { number: *second, known: true });
+    assert_eq!(received(&mut newer, &word), Ok(vec![News::Called(22, true)]));
+    assert_eq!(received(&mut newer, &word), Err(Fault::OutOfTurn), "one word a call");
+    assert!(newer.late(101.9).is_ok());
+    assert_eq!((newer.late(102.1), newer.waiting()), (Err(Fault::Stalled), vec![11]));
+    let word = frame(&Message::Called { number: *first, known: false });
+    let mut newer_two = joined().1;
+    assert!(received(&mut newer_two, &word).is_err());
+    assert!(link(Role::Newer).late(100.9).is_ok());
+    assert_eq!(link(Role::Newer).late(101.1), Err(Fault::Stalled));
+    assert!(older.late(500.0).is_ok(), "a link on which nothing is owed lasts");
+}
--- a/crates/inherit/src/lib.rs
+++ b/crates/inherit/src/lib.rs
@@ -107,20 +107,22 @@
             assert_eq!(listener(text, any()).err(), Some(Problem::Number), "{text}");
         }
         assert_eq!(listener("987654", any()).err(), Some(Problem::Closed));
+        // All are opened first: the number of one that was refused and closed would be given out again.
         let file = std::fs::File::open("/dev/null").expect("a file");
-        assert_eq!(listener(&free(file.into()), any()).err(), Some(Problem::NoSocket));
         let datagrams = UdpSocket::bind(any()).expect("a port");
-        assert_eq!(listener(&free(datagrams.into()), any()).err(), Some(Problem::NotListening));
         let real = TcpListener::bind(any()).expect("a port");
         let at = real.local_addr().expect("an address");
         let client = TcpStream::connect(at).expect("a connection");
-        assert_eq!(listener(&free(client.into()), any()).err(), Some(Problem::NotListening));
         let other = real.try_clone().expect("a second descriptor");
+        assert_eq!(listener(&free(file.into()), any()).err(), Some(Problem::NoSocket));
+        assert_eq!(listener(&free(datagrams.into()), any()).err(), Some(Problem::NotListening));
+        assert_eq!(listener(&free(client.into()), any()).err(), Some(Problem::NotListening));
         assert_eq!(listener(&free(other.into()), any()).err(), Some(Problem::Elsewhere(Some(at))));
         let number = free(real.into());
         let taken = listener(&number, at).expect("the listener");
         assert_eq!(listener(&number, at).err(), Some(Problem::Taken));
-        let peer = TcpStream::connect(at).expect("a connection");
+        let peer = TcpStream::connect(at).expect("another connection");
+        assert!(taken.accept().is_ok(), "the first one waits");
         assert!(std::iter::repeat_with(|| taken.accept()).take(1000).any(|a| a.is_ok()));
         drop(peer);
         assert!(taken.accept().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -330,6 +330,42 @@
     Other,
 }
 
+/// What another process of this node does with the same workers: limits and budgets are one node's.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Elsewhere {
+    /// It took requests, and made further attempts, at these times.
+    Past {
+        /// Requests.
+        taken: Vec<f64>,
+        /// Further attempts.
+        further: Vec<f64>,
+    },
+    /// It sent an attempt.
+    Sent {
+        /// The request's number here, which no request of this dispatcher has.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: u16,
+        /// The worker.
+        worker: WorkerId,
+        /// Slots.
+        need: f64,
+        /// Expected work in seconds, where told.
+        work: Option<f64>,
+        /// When.
+        sent: f64,
+    },
+    /// An attempt of its ended.
+    Ended {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: u16,
+        /// The worker.
+        worker: WorkerId,
+    },
+}
+
 /// What a dispatcher is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -387,6 +423,8 @@
         /// It is to be used again.
         again: bool,
     },
+    /// News of another process of this node, which takes over or is taken over.
+    Elsewhere(Elsewhere),
     /// A timer came due.
     Timer {
         /// As set by [`Action::Timer`].
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,6 +5,7 @@
 use crate::operator::StoreSection;
 use serde::Deserialize;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 
 /// A node's configuration.
 pub struct Config {
@@ -22,6 +23,8 @@
     pub inherited: Option<String>,
     /// The listener behind it.
     pub listener: Option<TcpListener>,
+    /// The node's folder for passing files, in which its processes meet.
+    pub folder: Option<PathBuf>,
     /// How many descriptors it may hold.
     pub sockets: usize,
     /// How much memory it may use, in MiB.
@@ -134,6 +137,7 @@
             mgmt,
             inherited: variable("RELAY_SOCKET_FD"),
             listener: None,
+            folder: variable("TMPDIR").map(PathBuf::from),
             discovery: address("RELAY_DISCOVERY", raw.discovery)?,
             name: variable("RELAY_NAME").unwrap_or(raw.name),
             seed,
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -86,6 +86,11 @@
         &self.stream
     }
 
+    /// The stream, for another owner; what was read from it and not taken is left.
+    pub fn into_parts(self) -> (S, Vec<u8>) {
+        (self.stream, self.input)
+    }
+
     /// Whether all that was to be written has been.
     pub fn flushed(&self) -> bool {
         self.written == self.output.len()
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -173,15 +173,29 @@
 
     /// The list to keep, if it has changed since it was last asked for.
     pub fn changed(&mut self) -> Option<Vec<u8>> {
-        let revision = self.revision?;
-        let (members, changed) = self.held.as_mut()?;
-        if !std::mem::take(changed) {
-            return None;
-        }
+        let (_, changed) = self.held.as_mut().filter(|_| self.revision.is_some())?;
+        if std::mem::take(changed) { self.kept() } else { None }
+    }
+
+    /// The whole list as it is held.
+    pub fn kept(&self) -> Option<Vec<u8>> {
+        let (revision, (members, _)) = (self.revision?, self.held.as_ref()?);
         let members = members.values().cloned().collect();
         serde_json::to_vec(&Kept { discovery: self.discovery, revision, members }).ok()
     }
 
+    /// Goes by the list of another process of this node, where it is the newer one, and watches from its version
+    /// on: this process is bound by the news in a moment.
+    pub fn take_over(&mut self, reactor: &mut Reactor, kept: &[u8]) {
+        let Some(kept) = Kept::from_json(kept).filter(|kept| kept.discovery == self.discovery) else {
+            return;
+        };
+        if !self.calling && self.revision.is_none_or(|own| kept.revision >= own) && !kept.members.is_empty() {
+            let list = List { revision: kept.revision, complete: true, members: kept.members };
+            self.told(reactor, list);
+        }
+    }
+
     /// A node without a worker has nothing to lose by asking: it does so at once, and until it has been told
     /// a list it calls again in growing steps.
     pub fn start(&mut self, reactor: &mut Reactor) {
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -18,6 +18,8 @@
     Serving,
     /// It serves, and wants no new user agents.
     Draining,
+    /// Another process of this node serves: it answers what it holds, gives its connections over, and ends.
+    HandingOver,
     /// It answers what it holds, and ends.
     Stopping,
 }
@@ -28,12 +30,14 @@
     started: bool,
     drained: Option<f64>,
     stopped: bool,
+    handing: bool,
 }
 
 impl Lifecycle {
     /// Where it is.
     pub fn stage(&self) -> Stage {
         match (self.stopped, self.started, self.drained) {
+            (true, ..) if self.handing => Stage::HandingOver,
             (true, ..) => Stage::Stopping,
             (_, false, _) => Stage::Starting,
             (.., Some(_)) => Stage::Draining,
@@ -51,19 +55,26 @@
         !std::mem::replace(&mut self.stopped, true)
     }
 
+    /// Whether another process of this node takes over from one that was told to stop. If that ends, this one is
+    /// on its own again.
+    pub fn hand_over(&mut self, handing: bool) {
+        self.handing = handing;
+    }
+
     /// An operator drains the node. Always heeded: a node that starts begins drained, one that stops is being
     /// emptied already. A second call changes nothing.
     pub fn drain(&mut self, now: f64) {
         self.drained.get_or_insert(now);
     }
 
-    /// An operator ends the drain; whether that could be done: not on a node that stops. Without a drain there is
+    /// An operator ends the drain; whether that could be done: not on a node that ends. Without a drain there is
     /// nothing to do.
     pub fn activate(&mut self) -> bool {
-        if !self.stopped {
+        let can = !self.stopped || self.handing;
+        if can {
             self.drained = None;
         }
-        !self.stopped
+        can
     }
 
     /// Whether an operator has drained it.
@@ -71,14 +82,23 @@
         self.drained.is_some()
     }
 
+    /// Since when.
+    pub fn drained_at(&self) -> Option<f64> {
+        self.drained
+    }
+
     /// Whether this process can serve.
     pub fn serves(&self) -> bool {
         matches!(self.stage(), Stage::Serving | Stage::Draining)
     }
 
-    /// Whether it wants new user agents.
+    /// Whether the node wants new user agents; while it is handed over, the other process does.
     pub fn wants(&self) -> bool {
-        self.stage() == Stage::Serving
+        match self.stage() {
+            Stage::Serving => true,
+            Stage::HandingOver => self.drained.is_none(),
+            _ => false,
+        }
     }
 
     /// Whether answers end their connections.
@@ -115,14 +135,14 @@
         assert!(life.activate() && life.idle(11.0).is_none() && life.wants() && !life.closes());
     }
 
-    /// Guards against a stage that contradicts what was told, whatever the order: a model of three facts against
+    /// Guards against a stage that contradicts what was told, whatever the order: a model of four facts against
     /// random calls. Calls twice, a drain in a stop, an activate without a drain have their answers here.
     #[test]
     fn every_order_of_calls_has_its_answers() {
         let random = |calls: Vec<u8>| {
-            let (mut life, mut model) = (Lifecycle::default(), (false, false, false));
+            let (mut life, mut model) = (Lifecycle::default(), (false, false, false, false));
             for (call, now) in calls.into_iter().zip(0u32..) {
-                match call % 4 {
+                match call % 5 {
                     0 => {
                         life.start();
                         model.0 = true;
@@ -132,10 +152,15 @@
                         model.1 = true;
                     }
                     2 => {
-                        if life.activate() == model.2 {
+                        let can = !model.2 || model.3;
+                        if life.activate() != can {
                             return false;
                         }
-                        model.1 &= model.2;
+                        model.1 &= !can;
+                    }
+                    3 => {
+                        life.hand_over(now % 2 == 0);
+                        model.3 = now % 2 == 0;
                     }
                     _ => {
                         if life.stop() == model.2 {
@@ -144,11 +169,11 @@
                         model.2 = true;
                     }
                 }
-                let (started, drained, stopped) = model;
+                let (started, drained, stopped, handing) = model;
                 let serves = started && !stopped;
                 let held = life.serves() == serves
-                    && life.wants() == (serves && !drained)
-                    && life.closes() == (stopped || started && drained)
+                    && life.wants() == ((serves || stopped && handing) && !drained)
+                    && life.closes() == (stopped && !handing || !stopped && started && drained)
                     && life.drained() == drained;
                 if !held {
                     return false;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -24,6 +24,7 @@
 pub mod config;
 pub mod connection;
 pub mod farm;
+pub mod handover;
 pub mod http;
 pub mod keeper;
 pub mod keeping;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -2,16 +2,19 @@
 
 use super::config::Config;
 use super::farm::Farm;
+use super::handover::{self, Handover};
 use super::keeper::Keeper;
 use super::keeping::Keeping;
-use super::lifecycle::Lifecycle;
+use super::lifecycle::{Lifecycle, Stage};
 use super::management::{self, Call, Door, Reply};
 use super::proxy_pass::ProxyPasses;
 use super::reactor::{self, Clock, Due, Owner, Reactor};
-use super::transaction::{self, Command, Hub, Input};
+use super::transaction::{self, AgentId, Command, Hub, Input};
 use super::user_agent::{self, UserAgents};
 use crate::interface::ListKind;
 use polling::Event;
+use postproxy_handover::{Message, News, Role, Tale};
+use std::collections::HashMap;
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -29,6 +32,10 @@
 const DRAIN_LOOK: f64 = 0.05;
 /// Descriptors kept for what is no connection.
 const SPARE: usize = 24;
+/// Marks who waits on a link to another process of this node, beside the keys of connections.
+const LINKED: AgentId = 1 << 63;
+/// What a leaving process holds is told anew once it is so much less.
+const FEWER: usize = 8;
 
 /// A stream on which a byte is a signal.
 struct Signal {
@@ -62,6 +69,45 @@
 /// Where a running node gets a new configuration.
 type Reload = Box<dyn FnMut() -> Option<Config>>;
 
+/// What is to be remembered of links to other processes of this node.
+#[derive(Default)]
+struct Links {
+    /// How many words are still to come for those who wait with a call-back here.
+    words: HashMap<AgentId, usize>,
+    /// Call-backs of other processes: the link, and their number there.
+    origins: HashMap<AgentId, (usize, u64)>,
+    next: AgentId,
+    /// The descriptors that the other processes may hold.
+    holds: HashMap<usize, usize>,
+    /// What this one has said that it holds, if it has.
+    said: Option<usize>,
+}
+
+/// How many connections the node may have, in all its processes.
+struct Room {
+    /// Descriptors.
+    sockets: usize,
+    /// Of these, kept for what is no user agent's and no worker's connection, in each process.
+    kept: usize,
+    /// User agents by memory.
+    memory: usize,
+    /// Waiting user agents, by the settings; 0 where they say nothing.
+    open: usize,
+}
+
+impl Room {
+    /// How many user agents' connections, workers' connections and waiting user agents a share of so many
+    /// descriptors allows.
+    fn of(&self, share: usize) -> (usize, usize, usize) {
+        let share = share.max(16);
+        let memory = self.memory * share / self.sockets.saturating_sub(self.kept).max(share);
+        let most = (share * 5 / 8).min(memory.max(8));
+        // Were all connections held, no call-back could come in to end a single one.
+        let open = (most * 7 / 8).max(1);
+        (most, share * 3 / 8, if self.open > 0 { self.open.min(open) } else { open })
+    }
+}
+
 /// A real node.
 pub struct Node {
     clock: Clock,
@@ -72,6 +118,9 @@
     farm: Farm,
     keeper: Option<Keeper>,
     door: Option<Door>,
+    handover: Option<Handover>,
+    links: Links,
+    room: Room,
     life: Lifecycle,
     stop: Signal,
     reload: Option<(Signal, Reload)>,
@@ -115,20 +164,20 @@
             None => None,
         };
         let listen = |at| reactor::listen(at).map_err(|e| format!("listening on {at}: {e}"));
+        // A listener of one's own is nobody else's: then nobody takes over from this process.
+        let shared = config.listener.is_some();
         let listener = config.listener.map_or_else(|| listen(config.listen), Ok)?;
         let door = config.mgmt.map(listen).transpose()?;
         let door = door.map(|listener| Door::new(&mut reactor, listener)).transpose()?;
         let address = listener.local_addr()?;
-        let sockets =
-            config.sockets.saturating_sub(SPARE + door.as_ref().map_or(0, |_| management::MOST)).max(16);
         // Three quarters of the memory hold what each user agent's connection can come to at most.
         let memory = (config.memory_mb << 20) / 4 * 3 / user_agent::MOST_HELD;
-        let most = (sockets * 5 / 8).min(memory.max(8));
-        // Were all connections held, no call-back could come in to end a single one.
-        let open = (most * 7 / 8).max(1);
-        settings.max_open = if settings.max_open > 0 { settings.max_open.min(open) } else { open };
+        let spare = SPARE + door.as_ref().map_or(0, |_| management::MOST);
+        let room = Room { sockets: config.sockets, kept: spare, memory, open: settings.max_open };
+        let (most, passes, open) = room.of(config.sockets.saturating_sub(spare));
+        settings.max_open = open;
         let agents = UserAgents::new(&mut reactor, listener, settings.clone(), most)?;
-        let passes = ProxyPasses::new(sockets * 3 / 8, settings.dial_timeout, settings.conn_idle);
+        let passes = ProxyPasses::new(passes, settings.dial_timeout, settings.conn_idle);
         // A list without a worker is none: as one that is held it would keep the node waiting for its turn.
         let revision = known.as_ref().map(|list| list.revision);
         let members = known.clone().map(|list| list.members(&settings)).unwrap_or_default();
@@ -144,14 +193,21 @@
         if !members.is_empty() {
             reactor.queue.push_back(Input::Farm(ListKind::Cached, members));
         }
-        if keeper.is_some() {
+        if keeper.is_some() || shared {
             farm.hold(known.as_ref());
+        }
+        if keeper.is_some() {
             reactor.timer(reactor.now + FARM_KEPT, Due::FarmKept);
         }
         let stop = Signal::new(&mut reactor, stop)?;
         let (reload, quiet, done) = (None, 0, false);
-        let mut life = Lifecycle::default();
-        life.start();
+        let folder = config.folder.filter(|_| shared);
+        if shared && folder.is_none() {
+            tracing::warn!("TMPDIR is not set: no other process of this node can be asked to hand over");
+        }
+        let handover = folder
+            .map(|folder| Handover::start(&mut reactor, &folder, &config.name, &config.listen.to_string()));
+        let (links, life) = Default::default();
         Ok(Self {
             clock,
             reactor,
@@ -161,6 +217,9 @@
             farm,
             keeper,
             door,
+            handover,
+            links,
+            room,
             life,
             stop,
             reload,
@@ -209,9 +268,14 @@
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::new();
         self.reactor.now = self.clock.now();
+        self.agents.listen(&self.reactor, false);
+        self.begin();
         self.farm.start(&mut self.reactor);
         while !self.done {
             self.work();
+            if self.life.stage() == Stage::HandingOver {
+                self.pass_on();
+            }
             let now = self.clock.now();
             self.longest = self.longest.max(now - self.reactor.now);
             self.reactor.wait(&mut events, now)?;
@@ -233,6 +297,10 @@
                 let calls = self.door.as_mut().map(|door| door.ready(reactor, key, readable, writable));
                 self.called(calls.unwrap_or_default());
             }
+            Owner::Handover => {
+                let events = self.handover.as_mut().map(|h| h.ready(reactor, key, readable));
+                self.linked(events.unwrap_or_default());
+            }
             Owner::Agent => self.agents.ready(reactor, key, readable, writable),
             Owner::Pass => self.passes.ready(reactor, key, readable, writable),
             Owner::Farm => self.farm.ready(reactor, key, readable, writable),
@@ -250,6 +318,10 @@
         let reactor = &mut self.reactor;
         match due {
             Due::Hub(due) => reactor.queue.push_back(Input::Due(due)),
+            Due::Handover => {
+                let events = self.handover.as_mut().map(|h| h.due(reactor));
+                self.linked(events.unwrap_or_default());
+            }
             Due::Caller(key) => {
                 if let Some(door) = &mut self.door {
                     door.due(reactor, key);
@@ -280,6 +352,11 @@
                 }
                 reactor.timer(reactor.now + FARM_KEPT, Due::FarmKept);
             }
+            Due::WindUp if self.life.stage() == Stage::HandingOver => {
+                let over = self.agents.count() == 0 && self.hub.held() == 0 && self.links.words.is_empty();
+                self.done = over && self.handover.as_ref().is_none_or(Handover::flushed);
+                reactor.timer(reactor.now + LOOK, Due::WindUp);
+            }
             Due::WindUp => {
                 let quiet = self.agents.wind_up(reactor) && self.hub.held() == 0;
                 self.quiet = if quiet { self.quiet + 1 } else { 0 };
@@ -291,9 +368,14 @@
 
     fn stop(&mut self) {
         self.stop.take(&self.reactor);
+        // One that has not begun holds nothing, and what waits at the listener is another's.
+        self.done |= self.life.stage() == Stage::Starting;
         if self.life.stop() {
             self.heed();
-            self.reactor.timer(self.reactor.now + ACCEPT_WINDOW, Due::WindUp);
+            self.hand_over();
+            let handing = self.life.stage() == Stage::HandingOver;
+            let after = if handing { LOOK } else { ACCEPT_WINDOW };
+            self.reactor.timer(self.reactor.now + after, Due::WindUp);
         }
     }
 
@@ -309,15 +391,10 @@
                 Call::Ready if self.life.serves() => Reply::Yes,
                 Call::Ready => Reply::NotNow,
                 Call::Drain => {
-                    self.drain();
+                    self.drain(None, 0.0);
                     Reply::Yes
                 }
-                Call::Activate if self.life.activate() => {
-                    tracing::info!("activated");
-                    self.heed();
-                    Reply::Yes
-                }
-                Call::Activate => Reply::NotNow,
+                Call::Activate => self.activate(),
                 Call::Suspend(id) => {
                     self.reactor.queue.push_back(Input::Use(key, id, false));
                     continue;
@@ -333,13 +410,224 @@
         }
     }
 
-    fn drain(&mut self) {
+    /// Drains the node, or goes on with a drain that another process of it has begun so long ago.
+    fn drain(&mut self, link: Option<usize>, ago: f64) {
         if !self.life.drained() {
             tracing::info!("draining");
             self.reactor.timer(self.reactor.now + DRAIN_LOOK, Due::Drain);
+            self.tell(link, &Message::Tale(Tale::Drain { on: true, ago: ago as f32 }));
+        }
+        self.life.drain(self.reactor.now - ago);
+        self.heed();
+    }
+
+    fn activate(&mut self) -> Reply {
+        if self.life.drained() {
+            self.tell(None, &Message::Tale(Tale::Drain { on: false, ago: 0.0 }));
         }
-        self.life.drain(self.reactor.now);
+        let can = self.life.activate();
+        tracing::info!(can, "activated");
         self.heed();
+        if can { Reply::Yes } else { Reply::NotNow }
+    }
+
+    fn tell(&mut self, except: Option<usize>, message: &Message) {
+        if let Some(handover) = &mut self.handover {
+            handover.tell(&self.reactor, except, message);
+        }
+    }
+
+    /// Begins to serve, unless an older process has still to tell what it holds.
+    fn begin(&mut self) {
+        let joining = self.handover.as_ref().is_some_and(Handover::joining);
+        if self.life.stage() == Stage::Starting && !joining {
+            self.life.start();
+            if let Some(handover) = &mut self.handover {
+                handover.open(&mut self.reactor);
+                tracing::info!("serving");
+            }
+            self.agents.listen(&self.reactor, true);
+            self.heed();
+        }
+    }
+
+    /// Once told to stop: has another process of this node take over, if one can.
+    fn hand_over(&mut self) {
+        let successor = self.handover.as_ref().and_then(Handover::successor);
+        if self.life.stage() == Stage::Stopping && successor.is_some() {
+            tracing::info!("handing over");
+            self.life.hand_over(true);
+            self.agents.listen(&self.reactor, false);
+            self.heed();
+            self.tell(None, &Message::Leaves);
+        }
+    }
+
+    /// Gives connections on which nothing is owed to the process that takes over.
+    fn pass_on(&mut self) {
+        let Some(handover) = &mut self.handover else { return };
+        let Some(to) = handover.successor() else { return };
+        while handover.has_room(to) {
+            let Some((stream, input, useful)) = self.agents.give_away(&self.reactor) else { break };
+            handover.pass(&self.reactor, to, &Message::Client { input, useful }, Some(stream.into()));
+        }
+        self.share();
+    }
+
+    /// Divides what the node may hold among its processes: the older one keeps what it has, at least half until it
+    /// leaves, and the newer one has the rest.
+    fn share(&mut self) {
+        let Some(handover) = &mut self.handover else { return };
+        let others: usize = self.links.holds.values().sum();
+        let left = self.room.sockets.saturating_sub(self.room.kept + others);
+        let held = self.agents.count() + self.passes.count();
+        let leaves = self.life.stage() == Stage::HandingOver;
+        let replaced = handover.replaced();
+        let share = match self.links.said {
+            _ if !replaced => left,
+            None => (left / 2).max(held),
+            Some(said) if leaves => held.min(said),
+            Some(said) => said,
+        };
+        if !replaced {
+            self.links.said = None;
+        } else if self.links.said.is_none_or(|said| share + FEWER <= said) {
+            self.links.said = Some(share);
+            let all = u32::try_from(share + self.room.kept + others).unwrap_or(u32::MAX);
+            handover.tell_newer(&self.reactor, &Message::Holds(all));
+        }
+        let (agents, passes, open) = self.room.of(share);
+        self.agents.limit(agents);
+        self.passes.limit(passes);
+        self.hub.limit(open);
+    }
+
+    /// Takes in what has come of links to other processes of this node.
+    fn linked(&mut self, events: Vec<handover::Event>) {
+        for event in events {
+            match event {
+                handover::Event::News(_, News::Client(input, useful), Some(descriptor)) => {
+                    self.agents.adopt(&mut self.reactor, descriptor.into(), input, useful);
+                }
+                handover::Event::News(link, news, _) => self.news(link, news),
+                handover::Event::Over(link, waiting, stalled) => self.unlinked(link, waiting, stalled),
+            }
+        }
+    }
+
+    /// A link is over: what its process held is gone with it, or out of reach.
+    fn unlinked(&mut self, link: usize, waiting: Vec<AgentId>, stalled: bool) {
+        self.reactor.queue.push_back(Input::Unlinked(link));
+        self.links.holds.remove(&link);
+        self.links.origins.retain(|_, (at, _)| *at != link);
+        for agent in waiting {
+            if stalled {
+                // The job may still be held there: its worker is to call again.
+                self.links.words.remove(&agent);
+                self.agents.break_off(&mut self.reactor, agent);
+            } else {
+                self.word(agent, false);
+            }
+        }
+        self.hub.link(self.handover.as_ref().is_some_and(Handover::linked));
+        let successor = self.handover.as_ref().and_then(Handover::successor);
+        if self.life.stage() == Stage::HandingOver && successor.is_none() {
+            tracing::warn!("the process that took over is gone");
+            self.life.hand_over(false);
+            self.agents.listen(&self.reactor, true);
+            self.heed();
+        }
+        self.share();
+        self.begin();
+    }
+
+    fn news(&mut self, link: usize, news: News) {
+        match news {
+            News::Greeted => {
+                self.hub.link(true);
+                self.greeted(link);
+            }
+            News::Tale(Tale::Drain { on: true, ago }) => self.drain(Some(link), f64::from(ago).max(0.0)),
+            News::Tale(Tale::Drain { on: false, .. }) => {
+                self.activate();
+            }
+            News::Tale(Tale::List(kept)) => self.farm.take_over(&mut self.reactor, &kept),
+            News::Tale(tale) => self.reactor.queue.push_back(Input::Tale(link, tale)),
+            News::Told => self.begin(),
+            News::Holds(most) => {
+                self.links.holds.insert(link, most as usize);
+                self.share();
+            }
+            News::Call(number, body) => match user_agent::call(&body) {
+                Some(call) => {
+                    self.links.next += 1;
+                    let agent = LINKED | self.links.next;
+                    self.links.origins.insert(agent, (link, number));
+                    self.reactor.queue.push_back(Input::Call(agent, call));
+                }
+                None => self.say(link, &Message::Called { number, known: false }),
+            },
+            News::Called(agent, known) => self.word(agent, known),
+            // Without its descriptor there is nothing to take over.
+            News::Client(..) => {}
+            News::Leaves => tracing::info!("the older process of this node leaves"),
+        }
+    }
+
+    /// Another process of this node has greeted: a newer one is told all that it must know.
+    fn greeted(&mut self, link: usize) {
+        let Some(handover) = self.handover.as_mut().filter(|h| h.role(link) == Some(Role::Older)) else {
+            return;
+        };
+        let now = self.reactor.now;
+        let drain = self.life.drained_at().map(|at| Tale::Drain { on: true, ago: (now - at) as f32 });
+        let tales = drain.into_iter().chain(self.farm.kept().map(Tale::List)).chain(self.hub.tales(now));
+        for tale in tales {
+            handover.say(&self.reactor, link, &Message::Tale(tale));
+        }
+        self.links.said = None;
+        self.share();
+        if let Some(handover) = &mut self.handover {
+            handover.told(&self.reactor, link);
+        }
+        self.hand_over();
+    }
+
+    fn say(&mut self, link: usize, message: &Message) {
+        if let Some(handover) = &mut self.handover {
+            handover.say(&self.reactor, link, message);
+        }
+    }
+
+    /// Another process's word on a call-back: with a yes, or the last no, it is acknowledged.
+    fn word(&mut self, agent: AgentId, known: bool) {
+        let Some(left) = self.links.words.get_mut(&agent) else { return };
+        *left -= 1;
+        if known || *left == 0 {
+            self.links.words.remove(&agent);
+            self.acknowledge(agent, known);
+        }
+    }
+
+    fn acknowledge(&mut self, agent: AgentId, known: bool) {
+        if agent & LINKED == 0 {
+            return self.agents.acknowledge(&mut self.reactor, agent);
+        }
+        if let Some((link, number)) = self.links.origins.remove(&agent) {
+            self.say(link, &Message::Called { number, known });
+        }
+    }
+
+    /// Asks the other processes of this node whether they know what a call-back is on.
+    fn forward(&mut self, agent: AgentId, call: &transaction::JobCall) {
+        let except = self.links.origins.get(&agent).map(|(link, _)| *link);
+        let body = user_agent::wording(call);
+        let asked = self.handover.as_mut().map_or(0, |h| h.forward(&self.reactor, except, agent, &body));
+        if asked == 0 {
+            self.acknowledge(agent, false);
+        } else {
+            self.links.words.insert(agent, asked);
+        }
     }
 
     fn reload(&mut self) {
@@ -372,7 +660,9 @@
                         }
                     }
                     Command::Answer(agent, answer) => self.agents.answer(reactor, agent, &answer),
-                    Command::Acknowledge(agent) => self.agents.acknowledge(reactor, agent),
+                    Command::Acknowledge(agent) => self.acknowledge(agent, true),
+                    Command::Forward(agent, call) => self.forward(agent, &call),
+                    Command::Tell(except, tale) => self.tell(except, &Message::Tale(tale)),
                     Command::Write(writes, wait) => {
                         if let Some(keeper) = &mut self.keeper {
                             keeper.write(reactor, writes, wait);
--- a/src/net/proxy_pass.rs
+++ b/src/net/proxy_pass.rs
@@ -149,6 +149,16 @@
         Self { sessions, idle, by_pass, most, dial_timeout, keep, worn: (keep, 0.0) }
     }
 
+    /// Holds at most so many connections from now on.
+    pub fn limit(&mut self, most: usize) {
+        self.most = most;
+    }
+
+    /// How many connections there are.
+    pub fn count(&self) -> usize {
+        self.sessions.len()
+    }
+
     /// Starts a pass that may take so many seconds.
     pub fn start(
         &mut self,
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -17,6 +17,8 @@
 pub enum Owner {
     /// The operators' door's.
     Door,
+    /// Another process's of this node, or where it comes to.
+    Handover,
     /// The listener's or a user agent's.
     Agent,
     /// A proxy pass's.
@@ -29,7 +31,8 @@
     Signal,
 }
 
-const OWNERS: [Owner; 6] = [Owner::Farm, Owner::Door, Owner::Store, Owner::Pass, Owner::Agent, Owner::Signal];
+const OWNERS: [Owner; 7] =
+    [Owner::Farm, Owner::Door, Owner::Handover, Owner::Store, Owner::Pass, Owner::Agent, Owner::Signal];
 
 /// Whose socket a key is.
 pub fn owner(key: usize) -> Owner {
@@ -41,6 +44,8 @@
 pub enum Due {
     /// The hub's.
     Hub(transaction::Due),
+    /// A look at the links to other processes of this node.
+    Handover,
     /// A caller at the operators' door.
     Caller(usize),
     /// Callers are taken again.
@@ -120,7 +125,8 @@
     ///
     /// If the poller refuses it.
     pub fn register(&mut self, source: impl Source, whose: Owner) -> io::Result<usize> {
-        let rank = OWNERS.iter().position(|o| *o == whose).unwrap_or_default();
+        // One without a rank would have its events told to another.
+        let rank = OWNERS.iter().position(|o| *o == whose).ok_or(io::ErrorKind::InvalidInput)?;
         let key = self.next_key * OWNERS.len() + rank;
         self.poller.add(source, Event::none(key))?;
         self.next_key += 1;
--- a/src/net/transaction.rs
+++ b/src/net/transaction.rs
@@ -4,9 +4,11 @@
 use super::keeping::{Asker, Care, Keeping};
 use super::management::Reply;
 use crate::interface::{
-    Action, Entry, Event, ListKind, NewRequest, Note, Outcome, RequestId, Settings, SettingsError, WorkerId,
+    Action, Elsewhere, Entry, Event, ListKind, NewRequest, Note, Outcome, RequestId, Settings, SettingsError,
+    WorkerId, sound,
 };
 use crate::policy::Dispatcher;
+use postproxy_handover::Tale;
 use postproxy_ledger::{Settled, Standing, Word, Write};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
@@ -140,6 +142,10 @@
     Farm(ListKind, Vec<Member>),
     /// A caller at the operators' door takes the worker of this name out of use, or back into it.
     Use(usize, String, bool),
+    /// News of another process of this node, by its link.
+    Tale(usize, Tale),
+    /// A link is over: what its process held is gone.
+    Unlinked(usize),
     /// A timer set by [`Command::Timer`] came due.
     Due(Due),
 }
@@ -211,6 +217,10 @@
     Forget(std::net::SocketAddr),
     /// Answer a caller at the operators' door.
     Operator(usize, Reply),
+    /// Tell the other processes of this node, but for the one of this link.
+    Tell(Option<usize>, Tale),
+    /// Ask them whether they know what a call-back is on; it is to be acknowledged with their word.
+    Forward(AgentId, JobCall),
     /// Give the final answer.
     Answer(AgentId, Answer),
     /// Acknowledge a call-back.
@@ -238,6 +248,14 @@
     ended: bool,
 }
 
+/// A job that another process of this node holds.
+struct Distant {
+    link: usize,
+    request: RequestId,
+    /// Its attempts that are out, each with its worker.
+    out: Vec<(u16, usize)>,
+}
+
 struct Transaction {
     payload: Rc<Payload>,
     /// The user agent, while it waits for its final answer.
@@ -252,6 +270,9 @@
     joined: Vec<AgentId>,
     /// An attempt has ended that may have run.
     may_have_run: bool,
+    /// Slots, and expected work, where told.
+    need: f64,
+    hint: Option<f64>,
     /// In the logs; none where its level is off.
     span: tracing::Span,
 }
@@ -295,8 +316,20 @@
     by_key: HashMap<(u8, String), RequestId>,
     /// What is to be written, in its order.
     writes: Vec<(Vec<Write>, Wait)>,
+    /// Other processes of this node are linked: they are told what changes.
+    linked: bool,
+    /// What they are still to be told.
+    tales: Vec<Tale>,
+    /// What they hold, by its id.
+    distant: BTreeMap<String, Distant>,
 }
 
+/// Where a worker is that the list has not named yet: nobody is reached there, and none is sent there.
+const NOWHERE: std::net::SocketAddr =
+    std::net::SocketAddr::V4(std::net::SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0));
+/// So many of the latest requests and further attempts are told to another process: budgets count no more.
+const MOST_PAST: usize = 8192;
+
 fn worker_id(number: usize) -> WorkerId {
     WorkerId { address: (number as u32).to_be_bytes(), port: 0 }
 }
@@ -344,6 +377,9 @@
             joiners: BTreeMap::new(),
             by_key: HashMap::new(),
             writes: Vec::new(),
+            linked: false,
+            tales: Vec::new(),
+            distant: BTreeMap::new(),
         })
     }
 
@@ -370,6 +406,7 @@
         for request in std::mem::take(&mut self.touched) {
             self.forget(now, request);
         }
+        out.extend(self.tales.drain(..).map(|tale| Command::Tell(None, tale)));
         out.extend(self.writes.drain(..).map(|(writes, wait)| Command::Write(writes, wait)));
     }
 
@@ -411,7 +448,9 @@
                 self.ended(now, (request, attempt), outcome, &load);
             }
             Input::Call(agent, call) => {
-                if !self.call(now, agent, call, out) {
+                if self.linked && !self.by_id.contains_key(&call.id) {
+                    out.push(Command::Forward(agent, call));
+                } else if !self.call(now, agent, call, out) {
                     out.push(Command::Acknowledge(agent));
                 }
             }
@@ -435,6 +474,13 @@
                 let reply = self.employ(now, &name, again, out);
                 out.push(Command::Operator(caller, reply));
             }
+            Input::Tale(link, tale) => self.heard(now, link, tale, out),
+            Input::Unlinked(link) => {
+                let gone = |(id, d): (&String, &Distant)| (d.link == link).then(|| id.clone());
+                for id in self.distant.iter().filter_map(gone).collect::<Vec<_>>() {
+                    self.heard(now, link, Tale::Over { id }, out);
+                }
+            }
             Input::Due(Due::Dispatcher(token)) => self.events.push_back(Event::Timer { token }),
             Input::Due(Due::Attempt(request, attempt)) => {
                 self.abandon(request, attempt, out);
@@ -456,6 +502,107 @@
         }
     }
 
+    /// Tells other processes of this node, if there are any.
+    fn tell(&mut self, tale: impl FnOnce() -> Tale) {
+        if self.linked {
+            self.tales.push(tale());
+        }
+    }
+
+    /// Whether other processes of this node are linked, which are to be told what changes from now on.
+    pub fn link(&mut self, linked: bool) {
+        self.linked = linked;
+    }
+
+    /// How many user agents may wait at a time.
+    pub fn limit(&mut self, most: usize) {
+        self.settings.max_open = most;
+    }
+
+    /// All that another process of this node must know of what is so now; budgets count it as old.
+    pub fn tales(&self, now: f64) -> Vec<Tale> {
+        let ago = |at: f64| (now - at) as f32;
+        let banned = self.banned.iter();
+        let mut tales: Vec<Tale> =
+            banned.map(|&w| Tale::Use { worker: self.names[w].clone(), again: false }).collect();
+        let (taken, further) = self.dispatcher.past(MOST_PAST);
+        let agos = |times: Vec<f64>| times.into_iter().map(ago).collect();
+        tales.push(Tale::Past { taken: agos(taken), further: agos(further) });
+        for t in self.transactions.values() {
+            let id = &t.payload.id;
+            tales.push(Tale::Taken { id: id.clone(), counts: false });
+            let out = t.attempts.iter().zip(0..).filter(|(a, _)| !a.ended);
+            tales.extend(out.map(|(a, attempt)| self.sent(now, t, a, attempt, false)));
+        }
+        // What comes from a third process.
+        for (id, d) in &self.distant {
+            tales.push(Tale::Taken { id: id.clone(), counts: false });
+            tales.extend(d.out.iter().map(|&(attempt, worker)| {
+                let (id, worker) = (id.clone(), self.names[worker].clone());
+                Tale::Sent { id, attempt, worker, need: 1.0, work: 0.0, ago: 0.0, counts: false }
+            }));
+        }
+        tales
+    }
+
+    fn sent(&self, now: f64, t: &Transaction, a: &Attempt, attempt: u16, counts: bool) -> Tale {
+        let (id, worker) = (t.payload.id.clone(), self.names[a.worker].clone());
+        let (need, work) = (t.need as f32, t.hint.unwrap_or(0.0) as f32);
+        Tale::Sent { id, attempt, worker, need, work, ago: (now - a.sent) as f32, counts }
+    }
+
+    /// Takes in what another process of this node tells, and passes on what is new to the others.
+    fn heard(&mut self, now: f64, link: usize, tale: Tale, out: &mut Vec<Command>) {
+        let then = |ago: f32| now - f64::from(ago).max(0.0);
+        let mut tell = |event| self.events.push_back(Event::Elsewhere(event));
+        match &tale {
+            Tale::Use { worker, again } => {
+                // It may be known there before this process has it from the list.
+                self.number(worker);
+                self.employ(now, worker, *again, out);
+                return;
+            }
+            Tale::Past { taken, further } => {
+                let times = |agos: &[f32]| agos.iter().map(|ago| then(*ago)).collect();
+                tell(Elsewhere::Past { taken: times(taken), further: times(further) });
+            }
+            Tale::Taken { id, counts } => {
+                if *counts {
+                    tell(Elsewhere::Past { taken: vec![now], further: Vec::new() });
+                }
+                let distant = Distant { link, request: self.next_request, out: Vec::new() };
+                self.next_request += 1;
+                self.distant.entry(id.clone()).or_insert(distant);
+            }
+            Tale::Sent { id, attempt, worker, need, work, ago, counts } => {
+                let number = self.number(worker);
+                let Some(d) = self.distant.get_mut(id) else { return };
+                d.out.push((*attempt, number));
+                let (request, attempt, worker, sent) = (d.request, *attempt, worker_id(number), then(*ago));
+                let (need, work) = (f64::from(*need), sound((*work).into()).filter(|w| *w > 0.0));
+                let mut tell = |event| self.events.push_back(Event::Elsewhere(event));
+                tell(Elsewhere::Sent { request, attempt, worker, need, work, sent });
+                if *counts && attempt > 0 {
+                    tell(Elsewhere::Past { taken: Vec::new(), further: vec![now] });
+                }
+            }
+            Tale::Ended { id, attempt } => {
+                let Some(d) = self.distant.get_mut(id) else { return };
+                let Some(at) = d.out.iter().position(|(a, _)| a == attempt) else { return };
+                let (attempt, worker) = d.out.swap_remove(at);
+                tell(Elsewhere::Ended { request: d.request, attempt, worker: worker_id(worker) });
+            }
+            Tale::Over { id } => {
+                let Some(d) = self.distant.remove(id) else { return };
+                for (attempt, worker) in d.out {
+                    tell(Elsewhere::Ended { request: d.request, attempt, worker: worker_id(worker) });
+                }
+            }
+            Tale::Drain { .. } | Tale::List(_) => return, // the node's own
+        }
+        out.push(Command::Tell(Some(link), tale));
+    }
+
     /// Takes a worker out of use, or back into it. What runs there ends there; what has not been sent whole
     /// goes elsewhere.
     fn employ(&mut self, now: f64, name: &str, again: bool, out: &mut Vec<Command>) -> Reply {
@@ -464,6 +611,7 @@
             return Reply::Yes;
         }
         tracing::info!(worker = name, again, "an operator's word on a worker's use");
+        self.tell(|| Tale::Use { worker: name.to_owned(), again });
         if again {
             self.banned.remove(&worker);
         } else {
@@ -633,7 +781,8 @@
     }
 
     fn arrived(&mut self, now: f64, agent: AgentId, submission: Submission, out: &mut Vec<Command>) {
-        if self.by_id.contains_key(&submission.payload.id) {
+        let id = &submission.payload.id;
+        if self.by_id.contains_key(id) || self.distant.contains_key(id) {
             return out.push(Command::Answer(agent, Answer::Held));
         }
         if self.settings.max_open > 0 && self.by_agent.len() + self.joiners.len() >= self.settings.max_open {
@@ -648,6 +797,7 @@
         self.next_request += 1;
         self.by_id.insert(submission.payload.id.clone(), request);
         self.by_agent.insert(agent, request);
+        self.tell(|| Tale::Taken { id: submission.payload.id.clone(), counts: true });
         let tenants = &self.settings.tenant_names;
         let tenant = tenants.iter().position(|name| Some(name) == submission.tenant.as_ref()).unwrap_or(0);
         let new = NewRequest {
@@ -684,6 +834,8 @@
             asker,
             joined: Vec::new(),
             may_have_run: false,
+            need: new.slots,
+            hint: new.hint,
             span,
         };
         self.transactions.insert(request, transaction);
@@ -805,6 +957,9 @@
             }
         }
         let (worker, elapsed) = (worker_id(a.worker), now - a.sent);
+        if self.linked {
+            self.tales.push(Tale::Ended { id: t.payload.id.clone(), attempt });
+        }
         self.passes.remove(&a.pass);
         let report = self.report(load);
         let event = Event::Outcome { request, attempt, worker, outcome, elapsed, closed, report };
@@ -822,13 +977,20 @@
         if report.iter().all(|figure| figure.is_nan()) { Vec::new() } else { report }
     }
 
-    fn member(&mut self, member: Member) -> Entry {
-        let new = self.workers.len();
-        let at = *self.numbers.entry(member.id.clone()).or_insert(new);
-        if at == new {
-            self.workers.push(member.address);
-            self.names.push(member.id);
+    /// The number of the worker of this name, which may be new.
+    fn number(&mut self, name: &str) -> usize {
+        if let Some(&at) = self.numbers.get(name) {
+            return at;
         }
+        let at = self.workers.len();
+        self.numbers.insert(name.to_owned(), at);
+        self.workers.push(NOWHERE);
+        self.names.push(name.to_owned());
+        at
+    }
+
+    fn member(&mut self, member: Member) -> Entry {
+        let at = self.number(&member.id);
         self.workers[at] = member.address;
         Entry { worker: worker_id(at), ..member.entry }
     }
@@ -856,6 +1018,7 @@
         }
         let Some(t) = self.transactions.remove(&request) else { return };
         t.span.record("attempts", t.attempts.len());
+        self.tell(|| Tale::Over { id: t.payload.id.clone() });
         self.by_id.remove(&t.payload.id);
         if let Some(key) = &t.payload.idempotency_key
             && self.by_key.get(&(t.class, key.clone())) == Some(&request)
@@ -907,6 +1070,11 @@
         let new = Attempt { worker: number, pass, sent: now, until, cleared, written, accepted, ended };
         t.attempts.push(new);
         self.passes.insert(pass, (request, attempt));
+        if self.linked {
+            let t = &self.transactions[&request];
+            self.tales.push(self.sent(now, t, &t.attempts[attempt as usize], attempt, true));
+        }
+        let Some(t) = self.transactions.get_mut(&request) else { return };
         let moot = t.agent.is_none() || left <= 0.0 || attempt >= self.settings.max_attempts;
         if moot || timeout < 0.0 {
             let outcome = if moot { Outcome::Moot } else { Outcome::Timeout };
--- a/src/net/user_agent.rs
+++ b/src/net/user_agent.rs
@@ -108,6 +108,8 @@
     /// Nothing is accepted for now; when the next timer that goes on with it comes.
     paused: bool,
     wakes: f64,
+    /// New connections are taken.
+    listening: bool,
     /// New user agents are wanted; answers end their connections.
     wants: bool,
     closes: bool,
@@ -146,7 +148,27 @@
     Transaction(Box<Submission>),
 }
 
-fn call(body: &[u8]) -> Option<JobCall> {
+/// A call-back as a worker words it, for another process of this node.
+pub fn wording(call: &JobCall) -> Vec<u8> {
+    let mut json = serde_json::json!({"id": call.id, "from": call.from, "state": "unknown"});
+    match &call.state {
+        JobState::Started => json["state"] = "started".into(),
+        JobState::Running(share) => (json["state"], json["share"]) = ("running".into(), (*share).into()),
+        JobState::Done(result) => {
+            (json["state"], json["result"]) = ("done".into(), String::from_utf8_lossy(result).into());
+        }
+        JobState::Failed => json["state"] = "failed".into(),
+        JobState::Returned => json["state"] = "returned".into(),
+        JobState::Lost => json["state"] = "lost".into(),
+        JobState::Unknown => {}
+    }
+    let load = call.load.iter().map(|(name, value)| (name.clone(), serde_json::Value::from(*value)));
+    json["load"] = load.collect();
+    json.to_string().into_bytes()
+}
+
+/// Reads a worker's call-back.
+pub fn call(body: &[u8]) -> Option<JobCall> {
     let raw: RawCall = serde_json::from_slice(body).ok()?;
     let state = match raw.state.as_str() {
         "started" => JobState::Started,
@@ -389,6 +411,7 @@
             most,
             paused: false,
             wakes: f64::INFINITY,
+            listening: true,
             wants: true,
             closes: false,
         })
@@ -442,6 +465,62 @@
         });
     }
 
+    /// Whether new connections are taken. Where not, they wait at the listener for whoever shares it.
+    pub fn listen(&mut self, reactor: &Reactor, on: bool) {
+        self.listening = on;
+        reactor.rearm(&self.listener, self.listener_key, (on, false));
+    }
+
+    /// Takes at most so many connections from now on.
+    pub fn limit(&mut self, most: usize) {
+        self.most = most;
+    }
+
+    /// How many connections there are.
+    pub fn count(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Gives away a connection on which nothing is owed and no request has begun: its stream, what was read from
+    /// it, and whether it has been of use. What has not been read stays in the stream.
+    pub fn give_away(&mut self, reactor: &Reactor) -> Option<(TcpStream, Vec<u8>, bool)> {
+        let quiet = |s: &Session| {
+            s.agent.phase == Phase::Reading
+                && s.connection.state() == State::Open
+                && s.connection.flushed()
+                && !s.agent.reader.begun()
+        };
+        let key = self.sessions.iter().find(|(_, s)| quiet(s)).map(|(key, _)| *key)?;
+        let session = self.sessions.remove(&key)?;
+        reactor.forget(session.connection.stream());
+        let useful = session.agent.useful;
+        let (stream, input) = session.connection.into_parts();
+        Some((stream, input, useful))
+    }
+
+    /// Takes a connection over that another process of this node has read so much from.
+    pub fn adopt(&mut self, reactor: &mut Reactor, stream: TcpStream, input: Vec<u8>, useful: bool) {
+        let key = stream.set_nonblocking(true).and_then(|()| reactor.register(&stream, Owner::Agent));
+        let Ok(key) = key else { return };
+        let mut connection = Connection::new(stream, false, MOST_INPUT);
+        connection.input = input;
+        self.sessions.insert(key, Session { connection, agent: Agent { useful, ..Agent::new(key) } });
+        self.with(reactor, key, |connection, caller| {
+            caller.wait(IDLE);
+            caller.read(connection);
+            connection.ready(true, false, caller);
+        });
+    }
+
+    /// Ends the connection of a worker whose call-back can't be acknowledged: it calls again.
+    pub fn break_off(&mut self, reactor: &mut Reactor, agent: u64) {
+        self.with(reactor, agent as usize, |connection, caller| {
+            if caller.agent.phase == Phase::Calling {
+                connection.abort();
+            }
+        });
+    }
+
     /// Whether new user agents are wanted, which the readiness check tells, and whether answers end their
     /// connections.
     pub fn heed(&mut self, wants: bool, closes: bool) {
@@ -513,6 +592,9 @@
     }
 
     fn accept(&mut self, reactor: &mut Reactor) {
+        if !self.listening {
+            return;
+        }
         for _ in 0..ACCEPTS {
             // One more than there is room for: none gives way before another one is there.
             if self.sessions.len() > self.most && !self.make_room(reactor) {
@@ -821,5 +903,20 @@
         );
         assert_eq!(state(r#"{"id":"a","from":"b","state":"asleep"}"#), Some(JobState::Unknown));
         assert_eq!(state(r#"{"id":"a","state":"done"}"#), None);
+        // Through another process it stays the same.
+        let states = [
+            JobState::Started,
+            JobState::Running(0.25),
+            JobState::Done("\u{161}\n\"r\"".into()),
+            JobState::Failed,
+            JobState::Returned,
+            JobState::Lost,
+            JobState::Unknown,
+        ];
+        for state in states {
+            let load = vec![("queue".to_owned(), 2.0), ("x0".to_owned(), 1.5)];
+            let told = JobCall { id: "9b1f".into(), from: "s-1".into(), state, load };
+            assert_eq!(call(&wording(&told)), Some(told));
+        }
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -93,6 +93,7 @@
             },
             Event::Probed { worker, outcome, report, .. } => self.probed(*worker, *outcome, report),
             Event::Use { worker, again } => self.employ(*worker, *again),
+            Event::Elsewhere(news) => self.elsewhere(news),
             Event::Peer => {}
         }
         out.append(&mut self.out);
@@ -676,6 +677,36 @@
         }
     }
 
+    /// Another process of this node: what it holds at workers weighs like own jobs, budgets are common.
+    fn elsewhere(&mut self, news: &Elsewhere) {
+        let at = |id| self.known.index.get(id).copied();
+        match news {
+            Elsewhere::Past { taken, further } => {
+                self.known.taken.merge(taken);
+                self.known.further.merge(further);
+            }
+            Elsewhere::Sent { request, attempt, worker, need, work, sent } => {
+                let (key, work) = ((*request, *attempt), work.unwrap_or(self.known.usual));
+                let own = Own { key, need: *need, work, sent: *sent, until: None };
+                if let Some(w) = at(worker) {
+                    self.known.workers[w].own.push(own);
+                }
+            }
+            Elsewhere::Ended { request, attempt, worker } => {
+                let key = (*request, *attempt);
+                if let Some(w) = at(worker) {
+                    self.known.workers[w].own.retain(|o| o.key != key);
+                }
+            }
+        }
+    }
+
+    /// When requests were taken and further attempts made of late: what another process has to count, too.
+    pub fn past(&self, most: usize) -> (Vec<f64>, Vec<f64>) {
+        let since = self.now - self.set.retry_budget.map_or(0.0, |b| b.look_back + self.set.tick);
+        (self.known.taken.latest(most, since), self.known.further.latest(most, since))
+    }
+
     /// Whether operators have taken all workers out that a class could go to.
     fn all_out(&self, class: usize) -> bool {
         let entry = |id: &WorkerId| Some(&self.known.workers[*self.known.index.get(id)?].entry);
--- a/src/state.rs
+++ b/src/state.rs
@@ -138,6 +138,18 @@
         self.0.drain(..self.0.len().saturating_sub(Self::MOST));
     }
 
+    /// Takes in times of another process, in any order.
+    pub fn merge(&mut self, times: &[f64]) {
+        self.0.extend(times.iter().copied().filter(|at| at.is_finite()));
+        self.0.make_contiguous().sort_by(f64::total_cmp);
+        self.0.drain(..self.0.len().saturating_sub(Self::MOST));
+    }
+
+    /// The latest ones, not more than so many and no earlier than that.
+    pub fn latest(&self, most: usize, at: f64) -> Vec<f64> {
+        self.0.iter().rev().take(most).take_while(|t| **t >= at).copied().collect()
+    }
+
     /// How many are no earlier.
     pub fn since(&self, at: f64) -> usize {
         self.0.len() - self.0.partition_point(|&t| t < at)
