Move held jobs to the new process with their clients, and let the old one end at once

Change: once no attempt of it is between its start and its 202, a held job goes over with its client's connection: payload, deadline, attempts, and what the module noted. The module lets it go and carries on with it (release, carry_on); its bookkeeping of another process moved to state.rs. A call-back that crosses the move is looked up again after a 'not known'.

The log showed three processes in a row, of which the middle one ended while the first was still passing to it; the shares of room, lost call-backs between two, and refused moves were checked and ruled out.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -110,6 +110,15 @@
         /// It has brought a job or a call-back before.
         useful: bool,
     },
+    /// A job that is held, with its user agent's connection, which comes as a descriptor.
+    Job {
+        /// The job, encoded by its owner.
+        job: Vec<u8>,
+        /// What had been read from the connection.
+        input: Vec<u8>,
+        /// The connection ends behind the answer.
+        closes: bool,
+    },
     /// The sender has been told to stop: it takes nothing new, and its connections come over.
     Leaves,
 }
--- a/crates/handover/src/link.rs
+++ b/crates/handover/src/link.rs
@@ -36,6 +36,9 @@
     Called(u64, bool),
     /// A user agent's connection, whose descriptor came with it: what was read from it, and whether it was of use.
     Client(Vec<u8>, bool),
+    /// A held job, whose user agent's descriptor came with it: the job, what was read from the connection, and
+    /// whether that ends behind the answer.
+    Job(Vec<u8>, Vec<u8>, bool),
     /// The other side takes nothing new any more.
     Leaves,
 }
@@ -166,7 +169,10 @@
             }
             // Only a side that leaves gives its connections away.
             (State::Joined, Message::Client { input, useful }) if self.leaves => News::Client(input, useful),
-            (_, Message::Client { .. }) => return Err(Fault::OutOfTurn),
+            (State::Joined, Message::Job { job, input, closes }) if self.leaves => {
+                News::Job(job, input, closes)
+            }
+            (_, Message::Client { .. } | Message::Job { .. }) => return Err(Fault::OutOfTurn),
             (_, Message::Leaves) => {
                 self.leaves = true;
                 News::Leaves
--- a/crates/handover/tests/link.rs
+++ b/crates/handover/tests/link.rs
@@ -103,10 +103,15 @@
     let early = [greeting(), frame(&Message::Leaves)].concat();
     assert_eq!(received(&mut link(Role::Older), &early), Err(Fault::OutOfTurn));
     let client = Message::Client { input: Vec::new(), useful: true };
+    let job = Message::Job { job: vec![1], input: Vec::new(), closes: false };
     let (mut older, mut newer) = joined();
-    for message in
-        [link(Role::Older).hello(), Message::Told, Message::Called { number: 3, known: true }, client.clone()]
-    {
+    for message in [
+        link(Role::Older).hello(),
+        Message::Told,
+        Message::Called { number: 3, known: true },
+        client.clone(),
+        job.clone(),
+    ] {
         let (_, mut newer) = joined();
         assert_eq!(received(&mut newer, &frame(&message)), Err(Fault::OutOfTurn), "{message:?}");
     }
@@ -117,6 +122,7 @@
     );
     assert_eq!(received(&mut newer, &frame(&Message::Leaves)), Ok(vec![News::Leaves]));
     assert_eq!(received(&mut newer, &frame(&client)), Ok(vec![News::Client(Vec::new(), true)]));
+    assert_eq!(received(&mut newer, &frame(&job)), Ok(vec![News::Job(vec![1], Vec::new(), false)]));
     let mut empty = 0u32.to_be_bytes().to_vec();
     assert_eq!(received(&mut newer, &empty), Err(Fault::Malformed));
     empty = [3u32.to_be_bytes().to_vec(), vec![255, 255, 255]].concat();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,13 +3,15 @@
 //! Times are seconds. Absent figures are zero unless a type says otherwise; figures that are not
 //! finite or below zero are treated as absent by the module.
 
+use crate::state::Carried;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// Number that identifies a request at this dispatcher; below 2^52 and never reused.
 pub type RequestId = u64;
 
 /// Address of a worker. It carries no meaning beyond identity.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 pub struct WorkerId {
     /// Four bytes of address.
     pub address: [u8; 4],
@@ -425,6 +427,13 @@
     },
     /// News of another process of this node, which takes over or is taken over.
     Elsewhere(Elsewhere),
+    /// A request of another process of this node goes on here.
+    Carried {
+        /// Its number here.
+        request: RequestId,
+        /// What was noted of it there.
+        carried: Box<Carried>,
+    },
     /// A timer came due.
     Timer {
         /// As set by [`Action::Timer`].
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 
 pub use interface::*;
 pub use policy::Dispatcher;
+pub use state::Carried;
 
 #[cfg(doctest)]
 #[doc = include_str!("../README.md")]
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -225,6 +225,11 @@
         self.sessions.get(&key).map(|s| s.link.role())
     }
 
+    /// Whether an older process is there.
+    pub fn follows(&self) -> bool {
+        self.sessions.values().any(|s| s.link.role() == Role::Newer)
+    }
+
     /// Whether a newer process is there.
     pub fn replaced(&self) -> bool {
         self.sessions.values().any(|s| s.link.role() == Role::Older && s.link.greeted())
@@ -270,7 +275,11 @@
         let ended = read.and_then(|()| session.flush());
         let mut events = Vec::new();
         for news in news {
-            let descriptor = if matches!(news, News::Client(..)) { session.came.pop_front() } else { None };
+            let descriptor = if matches!(news, News::Client(..) | News::Job(..)) {
+                session.came.pop_front()
+            } else {
+                None
+            };
             events.push(Event::News(key, news, descriptor));
         }
         match ended {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -72,8 +72,8 @@
 /// What is to be remembered of links to other processes of this node.
 #[derive(Default)]
 struct Links {
-    /// How many words are still to come for those who wait with a call-back here.
-    words: HashMap<AgentId, usize>,
+    /// How many words are still to come for those who wait with a call-back here, and on what.
+    words: HashMap<AgentId, (usize, transaction::JobCall)>,
     /// Call-backs of other processes: the link, and their number there.
     origins: HashMap<AgentId, (usize, u64)>,
     next: AgentId,
@@ -353,15 +353,17 @@
                 reactor.timer(reactor.now + FARM_KEPT, Due::FarmKept);
             }
             Due::WindUp if self.life.stage() == Stage::HandingOver => {
-                let over = self.agents.count() == 0 && self.hub.held() == 0 && self.links.words.is_empty();
-                self.done = over && self.handover.as_ref().is_none_or(Handover::flushed);
-                reactor.timer(reactor.now + LOOK, Due::WindUp);
+                let over = self.agents.count() == 0 && self.hub.owed() == 0 && self.links.words.is_empty();
+                let flushed = self.handover.as_ref().is_none_or(Handover::flushed);
+                self.done = over && flushed && !self.follows();
+                self.reactor.timer(self.reactor.now + LOOK, Due::WindUp);
             }
             Due::WindUp => {
-                let quiet = self.agents.wind_up(reactor) && self.hub.held() == 0;
+                let answered = self.agents.wind_up(reactor) && self.hub.held() == 0;
+                let quiet = answered && !self.follows();
                 self.quiet = if quiet { self.quiet + 1 } else { 0 };
                 self.done = self.quiet >= QUIET;
-                reactor.timer(reactor.now + LOOK, Due::WindUp);
+                self.reactor.timer(self.reactor.now + LOOK, Due::WindUp);
             }
         }
     }
@@ -463,7 +465,13 @@
         }
     }
 
-    /// Gives connections on which nothing is owed to the process that takes over.
+    /// Whether an older process of this node is still there. Danger: what it passes to one that has ended is lost,
+    /// and nobody is left to tell it of its call-backs.
+    fn follows(&self) -> bool {
+        self.handover.as_ref().is_some_and(Handover::follows)
+    }
+
+    /// Gives connections to the process that takes over: those on which nothing is owed, and held jobs with theirs.
     fn pass_on(&mut self) {
         let Some(handover) = &mut self.handover else { return };
         let Some(to) = handover.successor() else { return };
@@ -471,6 +479,20 @@
             let Some((stream, input, useful)) = self.agents.give_away(&self.reactor) else { break };
             handover.pass(&self.reactor, to, &Message::Client { input, useful }, Some(stream.into()));
         }
+        for agent in self.hub.movable() {
+            if !handover.has_room(to) {
+                break;
+            }
+            // One that has just ended is told as left.
+            if !self.agents.waits(agent) {
+                continue;
+            }
+            let Some(job) = self.hub.release(self.reactor.now, agent) else { continue };
+            if let Some((stream, input, closes)) = self.agents.give_up(&self.reactor, agent) {
+                let message = Message::Job { job, input, closes };
+                handover.pass(&self.reactor, to, &message, Some(stream.into()));
+            }
+        }
         self.share();
     }
 
@@ -496,6 +518,10 @@
             let all = u32::try_from(share + self.room.kept + others).unwrap_or(u32::MAX);
             handover.tell_newer(&self.reactor, &Message::Holds(all));
         }
+        if leaves {
+            // Danger: with less room, a job that still comes on a connection of its would fail for want of it.
+            return;
+        }
         let (agents, passes, open) = self.room.of(share);
         self.agents.limit(agents);
         self.passes.limit(passes);
@@ -509,6 +535,12 @@
                 handover::Event::News(_, News::Client(input, useful), Some(descriptor)) => {
                     self.agents.adopt(&mut self.reactor, descriptor.into(), input, useful);
                 }
+                handover::Event::News(link, News::Job(job, input, closes), Some(descriptor)) => {
+                    let adopted = self.agents.adopt_held(&mut self.reactor, descriptor.into(), input, closes);
+                    if let Some(agent) = adopted {
+                        self.reactor.queue.push_back(Input::Moved(link, agent, job));
+                    }
+                }
                 handover::Event::News(link, news, _) => self.news(link, news),
                 handover::Event::Over(link, waiting, stalled) => self.unlinked(link, waiting, stalled),
             }
@@ -569,7 +601,7 @@
             },
             News::Called(agent, known) => self.word(agent, known),
             // Without its descriptor there is nothing to take over.
-            News::Client(..) => {}
+            News::Client(..) | News::Job(..) => {}
             News::Leaves => tracing::info!("the older process of this node leaves"),
         }
     }
@@ -601,11 +633,17 @@
 
     /// Another process's word on a call-back: with a yes, or the last no, it is acknowledged.
     fn word(&mut self, agent: AgentId, known: bool) {
-        let Some(left) = self.links.words.get_mut(&agent) else { return };
+        let Some((left, _)) = self.links.words.get_mut(&agent) else { return };
         *left -= 1;
-        if known || *left == 0 {
-            self.links.words.remove(&agent);
-            self.acknowledge(agent, known);
+        if !known && *left > 0 {
+            return;
+        }
+        let Some((_, call)) = self.links.words.remove(&agent) else { return };
+        if known {
+            self.acknowledge(agent, true);
+        } else {
+            // The job may have come over before that word.
+            self.reactor.queue.push_back(Input::Again(agent, call));
         }
     }
 
@@ -619,14 +657,14 @@
     }
 
     /// Asks the other processes of this node whether they know what a call-back is on.
-    fn forward(&mut self, agent: AgentId, call: &transaction::JobCall) {
+    fn forward(&mut self, agent: AgentId, call: transaction::JobCall) {
         let except = self.links.origins.get(&agent).map(|(link, _)| *link);
-        let body = user_agent::wording(call);
+        let body = user_agent::wording(&call);
         let asked = self.handover.as_mut().map_or(0, |h| h.forward(&self.reactor, except, agent, &body));
         if asked == 0 {
             self.acknowledge(agent, false);
         } else {
-            self.links.words.insert(agent, asked);
+            self.links.words.insert(agent, (asked, call));
         }
     }
 
@@ -660,8 +698,8 @@
                         }
                     }
                     Command::Answer(agent, answer) => self.agents.answer(reactor, agent, &answer),
-                    Command::Acknowledge(agent) => self.acknowledge(agent, true),
-                    Command::Forward(agent, call) => self.forward(agent, &call),
+                    Command::Acknowledge(agent, known) => self.acknowledge(agent, known),
+                    Command::Forward(agent, call) => self.forward(agent, call),
                     Command::Tell(except, tale) => self.tell(except, &Message::Tale(tale)),
                     Command::Write(writes, wait) => {
                         if let Some(keeper) = &mut self.keeper {
--- a/src/net/transaction.rs
+++ b/src/net/transaction.rs
@@ -8,8 +8,10 @@
     WorkerId, sound,
 };
 use crate::policy::Dispatcher;
+use crate::state::Carried;
 use postproxy_handover::Tale;
 use postproxy_ledger::{Settled, Standing, Word, Write};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -19,7 +21,7 @@
 pub type PassId = u64;
 
 /// What passes through unchanged.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Payload {
     /// Its name among all that user agents send.
     pub id: String,
@@ -146,6 +148,10 @@
     Tale(usize, Tale),
     /// A link is over: what its process held is gone.
     Unlinked(usize),
+    /// Another process's job moves here, with its user agent.
+    Moved(usize, AgentId, Vec<u8>),
+    /// A call-back that no other process knows: its job may have moved here since.
+    Again(AgentId, JobCall),
     /// A timer set by [`Command::Timer`] came due.
     Due(Due),
 }
@@ -223,8 +229,8 @@
     Forward(AgentId, JobCall),
     /// Give the final answer.
     Answer(AgentId, Answer),
-    /// Acknowledge a call-back.
-    Acknowledge(AgentId),
+    /// Acknowledge a call-back; whether it was on a transaction that is held here.
+    Acknowledge(AgentId, bool),
     /// Write these together, and tell what becomes of it.
     Write(Vec<Write>, Wait),
     /// Read the result of the job of this id.
@@ -248,6 +254,30 @@
     ended: bool,
 }
 
+/// A transaction on its way to another process of this node.
+#[derive(Deserialize, Serialize)]
+struct Moved {
+    /// The time there.
+    now: f64,
+    payload: Payload,
+    class: u8,
+    deadline: f64,
+    attempts: Vec<MovedAttempt>,
+    may_have_run: bool,
+    need: f64,
+    hint: Option<f64>,
+    carried: Carried,
+}
+
+#[derive(Deserialize, Serialize)]
+struct MovedAttempt {
+    worker: String,
+    sent: f64,
+    until: f64,
+    written: bool,
+    ended: bool,
+}
+
 /// A job that another process of this node holds.
 struct Distant {
     link: usize,
@@ -330,6 +360,10 @@
 /// So many of the latest requests and further attempts are told to another process: budgets count no more.
 const MOST_PAST: usize = 8192;
 
+/// Two processes' clocks, each set at its start, show the same but for so many seconds; what is beyond is taken for
+/// a step of the system's clock between the starts.
+const CLOCKS_APART: f64 = 0.05;
+
 fn worker_id(number: usize) -> WorkerId {
     WorkerId { address: (number as u32).to_be_bytes(), port: 0 }
 }
@@ -448,10 +482,11 @@
                 self.ended(now, (request, attempt), outcome, &load);
             }
             Input::Call(agent, call) => {
-                if self.linked && !self.by_id.contains_key(&call.id) {
+                let known = self.by_id.contains_key(&call.id);
+                if self.linked && !known {
                     out.push(Command::Forward(agent, call));
                 } else if !self.call(now, agent, call, out) {
-                    out.push(Command::Acknowledge(agent));
+                    out.push(Command::Acknowledge(agent, known));
                 }
             }
             Input::Stored(wait, durable) => self.stored(now, wait, durable, out),
@@ -475,6 +510,18 @@
                 out.push(Command::Operator(caller, reply));
             }
             Input::Tale(link, tale) => self.heard(now, link, tale, out),
+            Input::Moved(link, agent, job) => {
+                if self.carry_on(now, link, agent, &job, out).is_none() {
+                    out.push(Command::Answer(agent, Answer::Failed));
+                }
+            }
+            Input::Again(agent, call) => {
+                // It may even have moved on: then the one who asked looks again, too.
+                let known = self.by_id.contains_key(&call.id);
+                if !self.call(now, agent, call, out) {
+                    out.push(Command::Acknowledge(agent, known));
+                }
+            }
             Input::Unlinked(link) => {
                 let gone = |(id, d): (&String, &Distant)| (d.link == link).then(|| id.clone());
                 for id in self.distant.iter().filter_map(gone).collect::<Vec<_>>() {
@@ -545,6 +592,105 @@
         tales
     }
 
+    /// How many user agents wait for their final answer.
+    pub fn owed(&self) -> usize {
+        self.by_agent.len() + self.joiners.len()
+    }
+
+    /// The user agents whose transactions can move to another process now: no attempt is on its way to its worker,
+    /// and nothing of them is kept here.
+    pub fn movable(&self) -> Vec<AgentId> {
+        let moves = |t: &Transaction| {
+            t.asker.is_none() && t.joined.is_empty() && t.attempts.iter().all(|a| a.ended || a.accepted)
+        };
+        let agent = |t: &Transaction| t.agent.filter(|_| moves(t));
+        self.transactions.values().filter_map(agent).collect()
+    }
+
+    /// Lets a user agent's transaction go: what another process needs to go on with it.
+    pub fn release(&mut self, now: f64, agent: AgentId) -> Option<Vec<u8>> {
+        let request = *self.by_agent.get(&agent)?;
+        let carried = self.dispatcher.release(request)?;
+        let t = self.transactions.remove(&request)?;
+        self.by_agent.remove(&agent);
+        self.by_id.remove(&t.payload.id);
+        for a in &t.attempts {
+            self.passes.remove(&a.pass);
+        }
+        let attempt = |a: &Attempt| MovedAttempt {
+            worker: self.names[a.worker].clone(),
+            sent: a.sent,
+            until: a.until,
+            written: a.written,
+            ended: a.ended,
+        };
+        let attempts = t.attempts.iter().map(attempt).collect();
+        let payload = Rc::unwrap_or_clone(t.payload);
+        let (class, may_have_run) = (t.class, t.may_have_run);
+        let (deadline, need, hint) = (t.deadline, t.need, t.hint);
+        let moved = Moved { now, payload, class, deadline, attempts, may_have_run, need, hint, carried };
+        postcard::to_stdvec(&moved).ok()
+    }
+
+    /// Goes on with a transaction of another process; `None` if it can't be read.
+    fn carry_on(
+        &mut self,
+        now: f64,
+        link: usize,
+        agent: AgentId,
+        job: &[u8],
+        out: &mut Vec<Command>,
+    ) -> Option<()> {
+        let mut moved: Moved = postcard::from_bytes(job).ok()?;
+        let id = moved.payload.id.clone();
+        self.heard(now, link, Tale::Over { id: id.clone() }, out);
+        let sound = moved.attempts.len() == moved.carried.workers.len() && moved.deadline.is_finite();
+        if !sound || self.by_id.contains_key(&id) || self.settings.classes.len() <= moved.class as usize {
+            return None;
+        }
+        let apart = now - moved.now;
+        let shift = if apart.abs() > CLOCKS_APART { apart } else { 0.0 };
+        moved.carried.shift(shift);
+        let request = self.next_request;
+        self.next_request += 1;
+        let mut attempts = Vec::new();
+        for (a, number) in moved.attempts.iter().zip(0u16..) {
+            let worker = self.number(&a.worker);
+            let (pass, sent, until) = (self.next_pass, a.sent + shift, a.until + shift);
+            self.next_pass += 1;
+            moved.carried.workers[number as usize] = worker_id(worker);
+            let (cleared, written, ended) = (true, a.written, a.ended);
+            attempts.push(Attempt { worker, pass, sent, until, cleared, written, accepted: written, ended });
+            if !ended {
+                self.passes.insert(pass, (request, number));
+                out.push(Command::Timer(until, Due::Attempt(request, number)));
+            }
+        }
+        self.by_id.insert(id, request);
+        self.by_agent.insert(agent, request);
+        let t = Transaction {
+            payload: Rc::new(moved.payload),
+            agent: Some(agent),
+            deadline: moved.deadline + shift,
+            attempts,
+            class: moved.class,
+            care: Care::None,
+            asker: None,
+            joined: Vec::new(),
+            may_have_run: moved.may_have_run,
+            need: moved.need,
+            hint: moved.hint,
+            span: tracing::Span::none(),
+        };
+        self.tales.push(Tale::Taken { id: t.payload.id.clone(), counts: false });
+        let open = t.attempts.iter().zip(0..).filter(|(a, _)| !a.ended);
+        let open: Vec<Tale> = open.map(|(a, attempt)| self.sent(now, &t, a, attempt, false)).collect();
+        self.tales.extend(open);
+        self.transactions.insert(request, t);
+        self.events.push_back(Event::Carried { request, carried: Box::new(moved.carried) });
+        Some(())
+    }
+
     fn sent(&self, now: f64, t: &Transaction, a: &Attempt, attempt: u16, counts: bool) -> Tale {
         let (id, worker) = (t.payload.id.clone(), self.names[a.worker].clone());
         let (need, work) = (t.need as f32, t.hint.unwrap_or(0.0) as f32);
@@ -751,7 +897,7 @@
         let id = match wait {
             Wait::Pass(pass) => return self.intent_stored(now, pass, durable, out),
             Wait::Call(agent, id) => {
-                out.push(Command::Acknowledge(agent));
+                out.push(Command::Acknowledge(agent, true));
                 id
             }
             Wait::Nobody(id) => id,
--- a/src/net/user_agent.rs
+++ b/src/net/user_agent.rs
@@ -80,6 +80,11 @@
 }
 
 impl Session {
+    /// Whether its user agent is there and waits for its final answer.
+    fn waits(&self) -> bool {
+        self.agent.phase == Phase::Held && self.connection.state() == State::Open
+    }
+
     /// How soon it gives way where there is no room: first what has its last answer, then what stays silent or
     /// half-sent, or lies idle and has brought neither a job nor a call-back; then what lies idle and has; then
     /// what is silent still. Never a new connection or one on which an answer is owed. Danger: a crowd that
@@ -498,6 +503,38 @@
         Some((stream, input, useful))
     }
 
+    /// Whether a user agent is there and waits for its final answer.
+    pub fn waits(&self, agent: u64) -> bool {
+        self.sessions.get(&(agent as usize)).is_some_and(Session::waits)
+    }
+
+    /// Gives away the connection of a user agent that waits for its final answer: its stream, what was read from
+    /// it, and whether it ends behind the answer.
+    pub fn give_up(&mut self, reactor: &Reactor, agent: u64) -> Option<(TcpStream, Vec<u8>, bool)> {
+        let session = self.sessions.remove(&(agent as usize)).filter(Session::waits)?;
+        reactor.forget(session.connection.stream());
+        let closes = session.agent.closes;
+        let (stream, input) = session.connection.into_parts();
+        Some((stream, input, closes))
+    }
+
+    /// Takes over the connection of a user agent that waits for its final answer; its number here.
+    pub fn adopt_held(
+        &mut self,
+        reactor: &mut Reactor,
+        stream: TcpStream,
+        input: Vec<u8>,
+        closes: bool,
+    ) -> Option<u64> {
+        let key = stream.set_nonblocking(true).and_then(|()| reactor.register(&stream, Owner::Agent)).ok()?;
+        let mut connection = Connection::new(stream, false, MOST_INPUT);
+        connection.input = input;
+        let agent = Agent { phase: Phase::Held, useful: true, closes, ..Agent::new(key) };
+        self.sessions.insert(key, Session { connection, agent });
+        self.with(reactor, key, |_, _| {});
+        Some(key as u64)
+    }
+
     /// Takes a connection over that another process of this node has read so much from.
     pub fn adopt(&mut self, reactor: &mut Reactor, stream: TcpStream, input: Vec<u8>, useful: bool) {
         let key = stream.set_nonblocking(true).and_then(|()| reactor.register(&stream, Owner::Agent));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,7 +5,7 @@
 
 use crate::interface::*;
 use crate::random::Random;
-use crate::state::{Attempt, Known, Own, Report, Request, State, Worker};
+use crate::state::{Attempt, Carried, Known, Own, Report, Request, State, Worker};
 use std::collections::BTreeMap;
 
 // Times are in usual jobs (the smoothed running time of a job here) where no other unit is named.
@@ -93,7 +93,8 @@
             },
             Event::Probed { worker, outcome, report, .. } => self.probed(*worker, *outcome, report),
             Event::Use { worker, again } => self.employ(*worker, *again),
-            Event::Elsewhere(news) => self.elsewhere(news),
+            Event::Elsewhere(news) => self.known.elsewhere(news),
+            Event::Carried { request, carried } => self.carry_on(*request, carried),
             Event::Peer => {}
         }
         out.append(&mut self.out);
@@ -677,28 +678,17 @@
         }
     }
 
-    /// Another process of this node: what it holds at workers weighs like own jobs, budgets are common.
-    fn elsewhere(&mut self, news: &Elsewhere) {
-        let at = |id| self.known.index.get(id).copied();
-        match news {
-            Elsewhere::Past { taken, further } => {
-                self.known.taken.merge(taken);
-                self.known.further.merge(further);
-            }
-            Elsewhere::Sent { request, attempt, worker, need, work, sent } => {
-                let (key, work) = ((*request, *attempt), work.unwrap_or(self.known.usual));
-                let own = Own { key, need: *need, work, sent: *sent, until: None };
-                if let Some(w) = at(worker) {
-                    self.known.workers[w].own.push(own);
-                }
-            }
-            Elsewhere::Ended { request, attempt, worker } => {
-                let key = (*request, *attempt);
-                if let Some(w) = at(worker) {
-                    self.known.workers[w].own.retain(|o| o.key != key);
-                }
-            }
-        }
+    /// Lets a request go to another process of this node, with what is noted of it; nothing is called back.
+    pub fn release(&mut self, id: RequestId) -> Option<Carried> {
+        self.requests.remove(&id).map(|r| self.known.release(id, r))
+    }
+
+    /// Goes on with a request of another process, as if its attempts had been sent from here.
+    fn carry_on(&mut self, id: RequestId, carried: &Carried) {
+        let Some(r) = self.known.carry_on(id, carried, self.set.classes.len()) else { return };
+        self.out.push(Action::Timer { at: r.deadline, token: ANSWER | id });
+        self.requests.insert(id, r);
+        self.review(id);
     }
 
     /// When requests were taken and further attempts made of late: what another process has to count, too.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a dispatcher remembers: plain types of `src/policy.rs`, without any decision.
 
-use crate::interface::{Entry, Health, RequestId, WorkerId};
+use crate::interface::{Elsewhere, Entry, Health, RequestId, WorkerId};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A load report as it is used: jobs held, free memory, time of arrival.
@@ -57,13 +58,14 @@
     }
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub enum State {
     Out,
     NeverRan,
     MayHaveRun,
 }
 
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Attempt {
     pub worker: usize,
     /// Zone and cell that it was sent to.
@@ -84,7 +86,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Request {
     pub class: usize,
     pub need: f64,
@@ -110,6 +112,26 @@
     pub streaming: bool,
 }
 
+/// A request on its way to another process of this node.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Carried {
+    request: Request,
+    /// The worker of each attempt.
+    pub workers: Vec<WorkerId>,
+}
+
+impl Carried {
+    /// Moves all times, where the other process's clock shows another time.
+    pub fn shift(&mut self, by: f64) {
+        let r = &mut self.request;
+        r.first += by;
+        r.deadline += by;
+        for a in &mut r.attempts {
+            (a.sent, a.heard, a.started) = (a.sent + by, a.heard + by, a.started.map(|at| at + by));
+        }
+    }
+}
+
 impl Request {
     pub fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.state == State::Out).count()
@@ -221,6 +243,66 @@
         entry.health == Health::Ready && !self.banned.contains_key(&entry.worker)
     }
 
+    /// A request that goes to another process, and with it the own sends.
+    pub fn release(&mut self, id: RequestId, request: Request) -> Carried {
+        self.workers.iter_mut().for_each(|w| w.own.retain(|o| o.key.0 != id));
+        let workers = request.attempts.iter().map(|a| self.workers[a.worker].entry.worker).collect();
+        let fresh = (Vec::new(), Vec::new(), 0, None, 0, 0.0);
+        let (pool, sample, rounds, pass, rolled, look) = fresh;
+        Carried { request: Request { pool, sample, rounds, pass, rolled, look, ..request }, workers }
+    }
+
+    /// A request that comes from another process, and with it its sends; `None` if it can't be one.
+    pub fn carry_on(&mut self, id: RequestId, carried: &Carried, classes: usize) -> Option<Request> {
+        let mut request = carried.request.clone();
+        let figures =
+            [request.need, request.memory, request.work, request.least, request.first, request.deadline];
+        let sound = figures.iter().all(|x| x.is_finite() && *x >= 0.0);
+        if !sound || request.class >= classes || request.attempts.len() != carried.workers.len() {
+            return None;
+        }
+        for ((a, id_of), number) in request.attempts.iter_mut().zip(&carried.workers).zip(0..) {
+            let new = self.workers.len();
+            a.worker = *self.index.entry(*id_of).or_insert(new);
+            if a.worker == new {
+                let entry = Entry { worker: *id_of, health: Health::Gone, ..Entry::default() };
+                self.workers.push(Worker { entry, ..Worker::default() });
+            }
+            if a.state == State::Out {
+                let (need, work) = (request.need, request.work);
+                self.workers[a.worker].own.push(Own {
+                    key: (id, number),
+                    need,
+                    work,
+                    sent: a.sent,
+                    until: None,
+                });
+            }
+        }
+        Some(request)
+    }
+
+    /// News of another process of this node: what it holds at workers weighs like own jobs, budgets are common.
+    pub fn elsewhere(&mut self, news: &Elsewhere) {
+        match news {
+            Elsewhere::Past { taken, further } => {
+                self.taken.merge(taken);
+                self.further.merge(further);
+            }
+            Elsewhere::Sent { request, attempt, worker, need, work, sent } => {
+                let (key, work) = ((*request, *attempt), work.unwrap_or(self.usual));
+                if let Some(&w) = self.index.get(worker) {
+                    self.workers[w].own.push(Own { key, need: *need, work, sent: *sent, until: None });
+                }
+            }
+            Elsewhere::Ended { request, attempt, worker } => {
+                if let Some(&w) = self.index.get(worker) {
+                    self.workers[w].own.retain(|o| o.key != (*request, *attempt));
+                }
+            }
+        }
+    }
+
     /// Notes a worker among the `most` heard of last.
     pub fn hear(&mut self, w: usize, most: usize) {
         self.heard.push_back(w);
--- a/tests/keeping.rs
+++ b/tests/keeping.rs
@@ -152,7 +152,7 @@
 }
 
 fn acknowledged(commands: &[Command]) -> bool {
-    commands.iter().any(|command| matches!(command, Command::Acknowledge(99)))
+    commands.iter().any(|command| matches!(command, Command::Acknowledge(99, _)))
 }
 
 fn served(text: &str) -> Answer {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -71,13 +71,19 @@
 
 impl Bed {
     fn new(name: &str) -> Self {
+        Self::with(name, &[15, 55, 95, 135])
+    }
+
+    /// Workers whose jobs take so many milliseconds each.
+    fn with(name: &str, times: &[u64]) -> Self {
         let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
         listener.listen(1024).expect("it listens");
         listener.set_cloexec(false).expect("it is inherited");
         let address = listener.local_addr().ok().and_then(|a| a.as_socket()).expect("an address");
-        let workers: Vec<Worker> =
-            (0..4).map(|n| Worker::start(&format!("s-{n}"), ms(15 + 40 * n)).expect("a worker")).collect();
+        let worker =
+            |(n, time): (usize, &u64)| Worker::start(&format!("s-{n}"), ms(*time)).expect("a worker");
+        let workers: Vec<Worker> = times.iter().enumerate().map(worker).collect();
         workers.iter().for_each(|worker| worker.reports_to(address));
         let discovery = Discovery::start(&workers).expect("discovery");
         let folder =
@@ -289,6 +295,60 @@
     drop(third);
 }
 
+/// Guards against a job that dies with the process that took it: held jobs move with their clients, also through two
+/// replacements, and what their workers call back finds them. So the old process ends long before its jobs do.
+#[test]
+fn held_jobs_outlive_the_process_that_took_them() {
+    let bed = Bed::with("long", &[2500]);
+    let mut first = bed.start();
+    let clients: Vec<JoinHandle<Option<u16>>> = (0..12)
+        .map(|n| {
+            let at = bed.address;
+            thread::spawn(move || {
+                let id = format!("long-{n}");
+                let fields = [("X-Request-Id", id.as_str()), ("Idempotency-Key", &id), ("X-Deadline", "6")];
+                let path = if n % 2 == 0 { "/day-plan/x" } else { "/reroute/x" };
+                let answer = ask(at, "POST", path, &fields, b"long").ok()?;
+                assert!(answer.status != 200 || answer.body == b"LONG");
+                Some(answer.status)
+            })
+        })
+        .collect();
+    // One that gives up: the process that has its job by then calls it back.
+    let mut leaves = TcpStream::connect(bed.address).expect("a connection");
+    write!(leaves, "POST /reroute/x HTTP/1.1\r\nX-Request-Id: gone\r\nIdempotency-Key: gone\r\n")
+        .and_then(|()| write!(leaves, "Content-Length: 1\r\n\r\ng"))
+        .expect("it is written");
+    let start = Instant::now();
+    while bed.runs().len() < 13 {
+        assert!(start.elapsed() < LIMIT, "they do not arrive");
+        sleep(ms(5));
+    }
+    let mut second = bed.start();
+    first.signal("TERM");
+    let (ended, well) = first.end();
+    assert!(well && ended < ms(1500), "{ended:?}: it waited for its jobs");
+    // What is held elsewhere is held here.
+    let again = [("X-Request-Id", "long-3"), ("Idempotency-Key", "other")];
+    assert_eq!(ask(bed.address, "POST", "/reroute/x", &again, b"x").expect("an answer").status, 409);
+    let mut third = bed.start();
+    second.signal("TERM");
+    let (ended, well) = second.end();
+    assert!(well && ended < ms(1500), "{ended:?}: it waited for its jobs");
+    drop(leaves);
+    let answers: Vec<Option<u16>> = clients.into_iter().map(|c| c.join().expect("no complaint")).collect();
+    assert!(answers.iter().all(|status| *status == Some(200)), "{answers:?}");
+    let runs = bed.runs();
+    assert!(runs.len() == 13 && runs.values().all(|times| *times == 1), "{runs:?}");
+    let called = start.elapsed();
+    while bed.workers[0].acknowledged().len() < 13 {
+        assert!(start.elapsed() < called + LIMIT, "a call-back is not answered");
+        sleep(ms(5));
+    }
+    third.signal("TERM");
+    assert!(third.end().1);
+}
+
 /// Guards against anything new that goes to a worker out of use, also through another process and over a
 /// replacement, and against one back in use that stays idle.
 #[test]
--- a/tests/transaction.rs
+++ b/tests/transaction.rs
@@ -45,7 +45,7 @@
         }));
         // Acknowledgements have a test of their own.
         let rest: Vec<Command> = rest;
-        rest.into_iter().filter(|c| !matches!(c, Command::Acknowledge(2))).collect()
+        rest.into_iter().filter(|c| !matches!(c, Command::Acknowledge(2, _))).collect()
     }
 
     /// Plays the timers up to a time.
