--- a/src/net/user_agent.rs
+++ b/src/net/user_agent.rs
@@ -496,11 +496,24 @@
                 && !s.agent.reader.begun()
         };
         let key = self.sessions.iter().find(|(_, s)| quiet(s)).map(|(key, _)| *key)?;
-        let session = self.sessions.remove(&key)?;
-        reactor.forget(session.connection.stream());
-        let useful = session.agent.useful;
-        let (stream, input) = session.connection.into_parts();
-        Some((stream, input, useful))
+        self.part_with(reactor, key).map(|(stream, input, agent)| (stream, input, agent.useful))
+    }
+
+    /// Lets a connection go without ending it: its stream, what was read from it, and its state here.
+    fn part_with(&mut self, reactor: &Reactor, key: usize) -> Option<(TcpStream, Vec<u8>, Agent)> {
+        let Session { connection, agent } = self.sessions.remove(&key)?;
+        reactor.forget(connection.stream());
+        let (stream, input) = connection.into_parts();
+        Some((stream, input, agent))
+    }
+
+    /// Takes a connection in that has been read so far; its key.
+    fn take_in(&mut self, reactor: &mut Reactor, stream: TcpStream, input: Vec<u8>) -> Option<usize> {
+        let key = stream.set_nonblocking(true).and_then(|()| reactor.register(&stream, Owner::Agent)).ok()?;
+        let mut connection = Connection::new(stream, false, MOST_INPUT);
+        connection.input = input;
+        self.sessions.insert(key, Session { connection, agent: Agent::new(key) });
+        Some(key)
     }
 
     /// Whether a user agent is there and waits for its final answer.
@@ -511,11 +524,8 @@
     /// Gives away the connection of a user agent that waits for its final answer: its stream, what was read from
     /// it, and whether it ends behind the answer.
     pub fn give_up(&mut self, reactor: &Reactor, agent: u64) -> Option<(TcpStream, Vec<u8>, bool)> {
-        let session = self.sessions.remove(&(agent as usize)).filter(Session::waits)?;
-        reactor.forget(session.connection.stream());
-        let closes = session.agent.closes;
-        let (stream, input) = session.connection.into_parts();
-        Some((stream, input, closes))
+        let key = Some(agent as usize).filter(|_| self.waits(agent))?;
+        self.part_with(reactor, key).map(|(stream, input, agent)| (stream, input, agent.closes))
     }
 
     /// Takes over the connection of a user agent that waits for its final answer; its number here.
@@ -526,23 +536,18 @@
         input: Vec<u8>,
         closes: bool,
     ) -> Option<u64> {
-        let key = stream.set_nonblocking(true).and_then(|()| reactor.register(&stream, Owner::Agent)).ok()?;
-        let mut connection = Connection::new(stream, false, MOST_INPUT);
-        connection.input = input;
-        let agent = Agent { phase: Phase::Held, useful: true, closes, ..Agent::new(key) };
-        self.sessions.insert(key, Session { connection, agent });
-        self.with(reactor, key, |_, _| {});
+        let key = self.take_in(reactor, stream, input)?;
+        self.with(reactor, key, |_, caller| {
+            (caller.agent.phase, caller.agent.useful, caller.agent.closes) = (Phase::Held, true, closes);
+        });
         Some(key as u64)
     }
 
     /// Takes a connection over that another process of this node has read so much from.
     pub fn adopt(&mut self, reactor: &mut Reactor, stream: TcpStream, input: Vec<u8>, useful: bool) {
-        let key = stream.set_nonblocking(true).and_then(|()| reactor.register(&stream, Owner::Agent));
-        let Ok(key) = key else { return };
-        let mut connection = Connection::new(stream, false, MOST_INPUT);
-        connection.input = input;
-        self.sessions.insert(key, Session { connection, agent: Agent { useful, ..Agent::new(key) } });
+        let Some(key) = self.take_in(reactor, stream, input) else { return };
         self.with(reactor, key, |connection, caller| {
+            caller.agent.useful = useful;
             caller.wait(IDLE);
             caller.read(connection);
             connection.ready(true, false, caller);
@@ -641,11 +646,7 @@
             match self.listener.accept() {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
-                    let key =
-                        stream.set_nonblocking(true).and_then(|()| reactor.register(&stream, Owner::Agent));
-                    let Ok(key) = key else { continue };
-                    let connection = Connection::new(stream, false, MOST_INPUT);
-                    self.sessions.insert(key, Session { connection, agent: Agent::new(key) });
+                    let Some(key) = self.take_in(reactor, stream, Vec::new()) else { continue };
                     self.with(reactor, key, |connection, caller| {
                         caller.agent.timed = true;
                         caller.wait(PATIENCE);
