Put what the parts say to each other below them, and src/net in folders by a job's way

Need: two circles had come into the imports (reactor, transaction, management, keeping; interface, state), and src/net held eighteen files side by side. The parts between nodes that come next would have made a third.

Change: net::words holds Input, Command and what is in them; ground, front, hub, back and peers hold what was flat; request holds a request's names and record, below interface and state. Nothing that runs has changed. Levels of logs by module go by the new paths.

--- a/benches/hub.rs
+++ b/benches/hub.rs
@@ -3,9 +3,8 @@
 //!     cargo bench --bench hub
 
 use criterion::{Criterion, criterion_group, criterion_main};
-use postproxy::net::transaction::{
-    Command, Hub, Input, JobCall, JobState, Load, Member, PassEnd, Payload, Submission,
-};
+use postproxy::net::hub::transaction::Hub;
+use postproxy::net::words::{Command, Input, JobCall, JobState, Load, Member, PassEnd, Payload, Submission};
 use postproxy::{Entry, ListKind, Settings};
 use tracing_subscriber::EnvFilter;
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -53,7 +53,7 @@
     /// How lines of the log look; goes before the operator's file
     #[arg(long, value_name = "FORMAT")]
     log_format: Option<LogFormat>,
-    /// Levels by module, such as info,postproxy::net::farm=debug; goes before the operator's file
+    /// Levels by module, such as info,postproxy::net::back::farm=debug; goes before the operator's file
     #[arg(long, value_name = "LEVELS")]
     log_levels: Option<String>,
 }
--- a/src/cli/store.rs
+++ b/src/cli/store.rs
@@ -2,7 +2,7 @@
 
 use super::Failure;
 use clap::{Args, Subcommand};
-use postproxy::net::keeper;
+use postproxy::net::back::keeper;
 use postproxy::operator::StoreSection;
 use postproxy_ledger::{Record, job_id};
 use postproxy_store::{Engine, OsDisk, Recovery};
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,22 +3,9 @@
 //! Times are seconds. Absent figures are zero unless a type says otherwise; figures that are not
 //! finite or below zero are treated as absent by the module.
 
-use crate::state::Carried;
-use serde::{Deserialize, Serialize};
+pub use crate::request::{Carried, RequestId, WorkerId};
 use std::fmt;
 
-/// Number that identifies a request at this dispatcher; below 2^52 and never reused.
-pub type RequestId = u64;
-
-/// Address of a worker. It carries no meaning beyond identity.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
-pub struct WorkerId {
-    /// Four bytes of address.
-    pub address: [u8; 4],
-    /// Port.
-    pub port: u16,
-}
-
 /// What may be done with a request that may already have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod operator;
 pub mod policy;
 pub mod random;
+mod request;
 pub mod settings;
 pub mod standin;
 mod state;
@@ -34,7 +35,6 @@
 
 pub use interface::*;
 pub use policy::Dispatcher;
-pub use state::Carried;
 
 #[cfg(doctest)]
 #[doc = include_str!("../README.md")]
--- a/src/net/farm.rs
+++ b/src/net/back/farm.rs
@@ -1,11 +1,11 @@
 //! The farm: discovery's list of workers and the watch on it.
 
 use super::backoff::Backoff;
-use super::connection::{Callbacks, Connection, State};
-use super::http::{self, Read};
-use super::reactor::{self, Due, Owner, Reactor};
-use super::transaction::{Input, Member};
 use crate::interface::{Entry, Health, ListKind, Settings};
+use crate::net::ground::connection::{Callbacks, Connection, State};
+use crate::net::ground::http::{self, Read};
+use crate::net::ground::reactor::{self, Due, Owner, Reactor};
+use crate::net::words::{Input, Member};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
--- a/src/net/keeper.rs
+++ b/src/net/back/keeper.rs
@@ -2,8 +2,8 @@
 //! them. The disk is waited for by the store's own thread.
 
 use super::farm::Kept;
-use super::reactor::{Owner, Reactor};
-use super::transaction::{AgentId, Input, Wait};
+use crate::net::ground::reactor::{Owner, Reactor};
+use crate::net::words::{AgentId, Input, Wait};
 use crate::operator::StoreSection;
 use postproxy_ledger::{Ledger, Write, result_key};
 use postproxy_store::{Batch, Engine, Event, Options, OsDisk, Recovery, Store, Work};
--- /dev/null
+++ b/src/net/back/mod.rs
@@ -0,0 +1,7 @@
+//! What the node goes to: workers, discovery, the store. It carries out what the hub wants and tells what came of it;
+//! nothing here decides which worker gets a job.
+
+pub mod backoff;
+pub mod farm;
+pub mod keeper;
+pub mod proxy_pass;
--- a/src/net/proxy_pass.rs
+++ b/src/net/back/proxy_pass.rs
@@ -1,9 +1,9 @@
 //! Proxy passes: connections to workers, the pool of idle ones, and one attempt's life on them.
 
-use super::connection::{Callbacks, Connection, State};
-use super::http::{self, Read, Response};
-use super::reactor::{self, Due, Owner, Reactor};
-use super::transaction::{Input, Load, PassEnd, PassId, Payload};
+use crate::net::ground::connection::{Callbacks, Connection, State};
+use crate::net::ground::http::{self, Read, Response};
+use crate::net::ground::reactor::{self, Due, Owner, Reactor};
+use crate::net::words::{Input, Load, PassEnd, PassId, Payload};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,7 +1,7 @@
 //! What a node is told at its start: the environment's `RELAY_*` and a JSON file.
 
-use super::farm::List;
 use crate::interface::Settings;
+use crate::net::back::farm::List;
 use crate::operator::StoreSection;
 use serde::Deserialize;
 use std::net::{SocketAddr, TcpListener};
--- a/src/net/management.rs
+++ b/src/net/front/management.rs
@@ -1,9 +1,10 @@
 //! The operators' door: a listener of its own for calls to a running node, one call a connection. It reads calls
 //! and words answers; what a call means is decided elsewhere.
 
-use super::connection::{Callbacks, Connection, State};
-use super::http::{self, Read, Request, RequestReader};
-use super::reactor::{Due, Owner, Reactor};
+use crate::net::ground::connection::{Callbacks, Connection, State};
+use crate::net::ground::http::{self, Read, Request, RequestReader};
+use crate::net::ground::reactor::{Due, Owner, Reactor};
+use crate::net::words::Reply;
 use std::collections::HashMap;
 use std::io;
 use std::net::{TcpListener, TcpStream};
@@ -36,17 +37,6 @@
     Resume(String),
 }
 
-/// What is said to a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reply {
-    /// It is so, or is done.
-    Yes,
-    /// Not now.
-    NotNow,
-    /// Nobody has that name.
-    Nobody,
-}
-
 /// Why a request is no call: the status, and what may be used instead.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct NoCall(u16, Option<&'static str>);
--- a/src/net/user_agent.rs
+++ b/src/net/front/user_agent.rs
@@ -1,10 +1,10 @@
 //! The user agents' side: the listener, their connections, the workers' call-backs, the readiness check.
 
-use super::connection::{Callbacks, Connection, State};
-use super::http::{self, Flaw, Headers, Read, Request, RequestReader};
-use super::reactor::{Due, Owner, Reactor};
-use super::transaction::{Answer, Input, JobCall, JobState, Load, Payload, Submission};
 use crate::interface::{Settings, sound};
+use crate::net::ground::connection::{Callbacks, Connection, State};
+use crate::net::ground::http::{self, Flaw, Headers, Read, Request, RequestReader};
+use crate::net::ground::reactor::{Due, Owner, Reactor};
+use crate::net::words::{Answer, Input, JobCall, JobState, Load, Payload, Submission};
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::io;
--- a/src/net/reactor.rs
+++ b/src/net/ground/reactor.rs
@@ -1,7 +1,7 @@
 //! What the owners of sockets stand on: the poller, the timers, the clock and the queue to the hub.
 
-use super::transaction::{self, Input};
 use super::wheel::Wheel;
+use crate::net::words::{self, Input};
 use polling::{Event, Poller, Source};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::VecDeque;
@@ -43,7 +43,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Due {
     /// The hub's.
-    Hub(transaction::Due),
+    Hub(words::Due),
     /// A look at the links to other processes of this node.
     Handover,
     /// A caller at the operators' door.
--- a/src/net/keeping.rs
+++ b/src/net/hub/keeping.rs
@@ -1,7 +1,7 @@
 //! What the hub keeps of jobs beyond the node's life: which care each class is owed, and the ledger. No I/O.
 
-use super::transaction::Submission;
 use crate::interface::{Effect, Settings};
+use crate::net::words::Submission;
 use postproxy_ledger::{Asked, Ledger};
 use sha2::{Digest, Sha256};
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,6 @@
 //! The real node: sockets, timers and HTTP round the decision module.
 //!
-//! [`Node`] runs one loop. User agents' requests become transactions in the hub ([`transaction`]), which
+//! [`Node`] runs one loop. User agents' requests become transactions in the hub ([`hub::transaction`]), which
 //! asks the [`crate::Dispatcher`] and has proxy passes started; news of the farm come from a watch.
 //!
 //! A node runs in the thread that calls it, until a byte comes on the stream that it was given:
@@ -20,22 +20,14 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
-pub mod backoff;
+pub mod back;
 pub mod config;
-pub mod connection;
-pub mod farm;
-pub mod handover;
-pub mod http;
-pub mod keeper;
-pub mod keeping;
-pub mod lifecycle;
-pub mod management;
+pub mod front;
+pub mod ground;
+pub mod hub;
 pub mod node;
-pub mod proxy_pass;
-pub mod reactor;
-pub mod transaction;
-pub mod user_agent;
-pub mod wheel;
+pub mod peers;
+pub mod words;
 
 pub use config::Config;
 pub use node::Node;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,17 +1,18 @@
 //! The node: the one loop that waits for sockets, timers and the signal to stop, and hands each to its owner.
 
 use super::config::Config;
-use super::farm::Farm;
-use super::handover::{self, Handover};
-use super::keeper::Keeper;
-use super::keeping::Keeping;
-use super::lifecycle::{Lifecycle, Stage};
-use super::management::{self, Call, Door, Reply};
-use super::proxy_pass::ProxyPasses;
-use super::reactor::{self, Clock, Due, Owner, Reactor};
-use super::transaction::{self, AgentId, Command, Hub, Input};
-use super::user_agent::{self, UserAgents};
 use crate::interface::ListKind;
+use crate::net::back::farm::Farm;
+use crate::net::back::keeper::Keeper;
+use crate::net::back::proxy_pass::ProxyPasses;
+use crate::net::front::management::{self, Call, Door};
+use crate::net::front::user_agent::{self, UserAgents};
+use crate::net::ground::reactor::{self, Clock, Due, Owner, Reactor};
+use crate::net::hub::keeping::Keeping;
+use crate::net::hub::lifecycle::{Lifecycle, Stage};
+use crate::net::hub::transaction::Hub;
+use crate::net::peers::handover::{self, Handover};
+use crate::net::words::{self, AgentId, Command, Input, Reply};
 use polling::Event;
 use postproxy_handover::{Message, News, Role, Tale};
 use std::collections::HashMap;
@@ -73,7 +74,7 @@
 #[derive(Default)]
 struct Links {
     /// How many words are still to come for those who wait with a call-back here, and on what.
-    words: HashMap<AgentId, (usize, transaction::JobCall)>,
+    words: HashMap<AgentId, (usize, words::JobCall)>,
     /// Call-backs of other processes: the link, and their number there.
     origins: HashMap<AgentId, (usize, u64)>,
     next: AgentId,
@@ -186,8 +187,8 @@
         let mut hub = Hub::new(settings.clone(), config.seed)?;
         let keeper = kept.map(|(mut keeper, keeping, nothing_ran)| {
             hub.keep(keeping);
-            keeper.write(&mut reactor, nothing_ran, transaction::Wait::Nobody(String::new()));
-            reactor.queue.push_back(Input::Due(transaction::Due::Expire));
+            keeper.write(&mut reactor, nothing_ran, words::Wait::Nobody(String::new()));
+            reactor.queue.push_back(Input::Due(words::Due::Expire));
             keeper
         });
         if !members.is_empty() {
@@ -657,7 +658,7 @@
     }
 
     /// Asks the other processes of this node whether they know what a call-back is on.
-    fn forward(&mut self, agent: AgentId, call: transaction::JobCall) {
+    fn forward(&mut self, agent: AgentId, call: words::JobCall) {
         let except = self.links.origins.get(&agent).map(|(link, _)| *link);
         let body = user_agent::wording(&call);
         let asked = self.handover.as_mut().map_or(0, |h| h.forward(&self.reactor, except, agent, &body));
--- a/src/net/handover.rs
+++ b/src/net/peers/handover.rs
@@ -1,7 +1,7 @@
 //! The sockets between two processes of this node while one takes over: a Unix stream in the node's folder for
 //! passing files, on which the newer process calls the older one. What is said on it is `postproxy_handover`'s.
 
-use super::reactor::{Due, Owner, Reactor};
+use crate::net::ground::reactor::{Due, Owner, Reactor};
 use postproxy_handover::{Link, Message, News, Role, frame, greeting};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for what a node works with, for trials and tests: discovery and workers, in threads of this
 //! process, on loopback. They speak the platform's protocol as far as a node sees it.
 
-use crate::net::http::{self, Read, Request};
+use crate::net::ground::http::{self, Read, Request};
 use std::collections::HashMap;
 use std::io::{self, Read as _, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -1,6 +1,6 @@
 //! Messages in buffers: whole and in parts, in both framings, and what is no message.
 
-use postproxy::net::http::{self, Flaw, Read, RequestReader, read_request, read_response};
+use postproxy::net::ground::http::{self, Flaw, Read, RequestReader, read_request, read_response};
 use quickcheck::{Gen, QuickCheck};
 
 /// Guards against a message that is taken before it is whole, or changed by how it arrived.
--- a/tests/keeping.rs
+++ b/tests/keeping.rs
@@ -1,10 +1,10 @@
 //! The hub with a ledger, without disk or sockets: what waits for a write, what a restart leaves in doubt, who is
 //! owed which answer.
 
-use postproxy::net::keeping::Keeping;
-use postproxy::net::transaction::{
-    Answer, Command, Due, Hub, Input, JobCall, JobState, Load, Member, PassEnd, PassId, Payload, Submission,
-    Wait,
+use postproxy::net::hub::keeping::Keeping;
+use postproxy::net::hub::transaction::Hub;
+use postproxy::net::words::{
+    Answer, Command, Due, Input, JobCall, JobState, Load, Member, PassEnd, PassId, Payload, Submission, Wait,
 };
 use postproxy::{Entry, ListKind, Settings};
 use postproxy_ledger::{Ledger, Limits, Write, result_key};
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,6 +1,6 @@
 //! A whole node on loopback: the test plays user agent, worker and discovery in turn, on blocking sockets.
 
-use postproxy::net::http::{self, Request};
+use postproxy::net::ground::http::{self, Request};
 use postproxy::net::{Config, Node};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -1,7 +1,7 @@
 //! The real program as operators run it, under load from stand-in clients and workers: workers taken out of use, the
 //! node drained, its process replaced while it serves, on a listener that all processes inherit.
 
-use postproxy::net::http::{self, Read as Parsed};
+use postproxy::net::ground::http::{self, Read as Parsed};
 use postproxy::standin::{Discovery, Worker, ask};
 use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -111,7 +111,7 @@
             let mut line = String::new();
             assert!(log.read_line(&mut line).expect("a line") > 0, "the log ended");
             // That discovery is not there is told as often as it is noticed.
-            if !line.contains("postproxy::net::farm") {
+            if !line.contains("postproxy::net::back::farm") {
                 return line.trim().to_owned();
             }
         }
--- a/tests/transaction.rs
+++ b/tests/transaction.rs
@@ -1,8 +1,9 @@
 //! The hub without sockets: one final answer, one outcome for each send, call-backs in any order.
 
-use postproxy::net::management::Reply;
-use postproxy::net::transaction::{
-    Answer, Command, Due, Hub, Input, JobCall, JobState, Load, Member, PassEnd, PassId, Payload, Submission,
+use postproxy::net::hub::transaction::Hub;
+use postproxy::net::words::Reply;
+use postproxy::net::words::{
+    Answer, Command, Due, Input, JobCall, JobState, Load, Member, PassEnd, PassId, Payload, Submission,
 };
 use postproxy::{Entry, ListKind, Settings};
 
