Put the members' machine on a socket: section fleet, bans for the fleet, members at the door

Need: crates/members was used by nobody.

Change: peers/fleet owns a UDP socket, at most 64 datagrams a turn and behind all jobs; the section fleet with checks; GET /v1/fleet/members; a suspend or resume holds at all nodes, says at how many of how many within 0.8 s, and is kept in the store. Of two processes of a node the newer takes the place when the older lets go. Without the section nothing is opened.

--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -431,6 +431,12 @@
         Some(ticket)
     }
 
+    /// Has a ticket told now, whoever has not answered yet.
+    pub fn press(&mut self, now: f64, ticket: u64, out: &mut Vec<Out>) {
+        self.advance(now);
+        self.held(ticket, true, out);
+    }
+
     /// Takes in bans that were kept beyond a life.
     pub fn restore(&mut self, marks: impl IntoIterator<Item = (String, Mark)>) {
         for (worker, mark) in marks {
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -27,6 +27,7 @@
     log.levels = args.log_levels.unwrap_or_else(|| log.levels.clone());
     let _written_at_the_end = logs::start(log)?;
     config.store = operator.store;
+    config.fleet = operator.fleet;
     let name = config.name.clone();
     let mut node = Node::new(config, stop)?;
     let words = name.clone();
--- a/src/net/back/keeper.rs
+++ b/src/net/back/keeper.rs
@@ -20,6 +20,8 @@
 const MOST_QUEUED: usize = 16 << 20;
 /// The key of the farm's list.
 const FARM: &[u8] = b"f/list";
+/// The key of the fleet's bans.
+const BANS: &[u8] = b"f/bans";
 /// How long after a failure the disk is tried again.
 const AGAIN: Duration = Duration::from_millis(500);
 
@@ -66,7 +68,8 @@
 }
 
 impl Keeper {
-    /// Opens the store, reads what it holds, which may be the farm's list, too, and starts its thread.
+    /// Opens the store, reads what it holds, which may be the farm's list and the fleet's bans, too, and starts
+    /// its thread.
     ///
     /// # Errors
     ///
@@ -75,15 +78,17 @@
         reactor: &mut Reactor,
         section: &StoreSection,
         name: &str,
-    ) -> Result<(Self, Ledger, Option<Kept>), String> {
+    ) -> Result<(Self, Ledger, Option<Kept>, Vec<u8>), String> {
         let holder = format!("process {} (node {name})", std::process::id());
         let (mut engine, recovery) = open(section, &holder)?;
         let mut ledger = Ledger::new(section.limits());
-        let mut farm = None;
+        let (mut farm, mut bans) = (None, Vec::new());
         engine
             .scan(|key, value| {
                 if key == FARM {
                     farm = Kept::from_json(value);
+                } else if key == BANS {
+                    bans = value.to_vec();
                 } else {
                     ledger.load(key, value);
                 }
@@ -122,7 +127,7 @@
         let (store, events) = Store::start(engine, work).map_err(|error| format!("store: {error}"))?;
         let (waiting, reads) = (VecDeque::new(), HashMap::new());
         let keeper = Self { store, events, woken, pending, key, waiting, reads, next_read: 0 };
-        Ok((keeper, ledger, farm))
+        Ok((keeper, ledger, farm, bans))
     }
 
     /// Has changes written together; what waits for them is told later, through the queue.
@@ -139,7 +144,16 @@
 
     /// Keeps the farm's list. One that is refused is written with the next change.
     pub fn keep_farm(&mut self, list: &[u8]) {
-        if let Ok(ticket) = self.store.append(Batch::new().put(FARM, list, 0)) {
+        self.keep(FARM, list);
+    }
+
+    /// Keeps the fleet's bans, likewise.
+    pub fn keep_bans(&mut self, bans: &[u8]) {
+        self.keep(BANS, bans);
+    }
+
+    fn keep(&mut self, key: &[u8], value: &[u8]) {
+        if let Ok(ticket) = self.store.append(Batch::new().put(key, value, 0)) {
             self.waiting.push_back((ticket, Wait::Nobody(String::new())));
         }
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::Settings;
 use crate::net::back::farm::List;
-use crate::operator::StoreSection;
+use crate::operator::{FleetSection, StoreSection};
 use serde::Deserialize;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -35,6 +35,8 @@
     pub settings: Settings,
     /// Where jobs are kept beyond the node's life; the operator's file says so, not the configuration.
     pub store: Option<StoreSection>,
+    /// The other nodes; as above.
+    pub fleet: Option<FleetSection>,
 }
 
 #[derive(Deserialize)]
@@ -145,6 +147,7 @@
             memory_mb: raw.limits.memory_mb,
             known: raw.known,
             store: None,
+            fleet: None,
             settings: Settings::from_json(&raw.settings.to_string()).map_err(|e| e.to_string())?,
         })
     }
--- a/src/net/front/management.rs
+++ b/src/net/front/management.rs
@@ -35,6 +35,8 @@
     Suspend(String),
     /// Use it again.
     Resume(String),
+    /// Which nodes are there.
+    Members,
 }
 
 /// Why a request is no call: the status, and what may be used instead.
@@ -57,6 +59,7 @@
     let path = request.target.split('?').next().unwrap_or_default();
     let (call, methods) = match path.split('/').collect::<Vec<_>>()[..] {
         ["", "v1", "readyz"] => (Call::Ready, GET),
+        ["", "v1", "fleet", "members"] => (Call::Members, GET),
         ["", "v1", "node", "drain"] => (Call::Drain, POST),
         ["", "v1", "node", "activate"] => (Call::Activate, POST),
         ["", "v1", "route-workers", id, "suspend"] => (Call::Suspend(name(id)?), POST),
@@ -178,14 +181,20 @@
 
     /// Answers a caller, if it is still there.
     pub fn answer(&mut self, reactor: &mut Reactor, key: usize, reply: Reply) {
-        let (status, word) = match reply {
-            Reply::Yes => (200, "yes\n"),
-            Reply::NotNow => (503, "not now\n"),
-            Reply::Nobody => (404, "nobody has that name\n"),
-        };
+        match reply {
+            Reply::Yes => self.tell(reactor, key, 200, "yes\n"),
+            Reply::NotNow => self.tell(reactor, key, 503, "not now\n"),
+            Reply::Nobody => self.tell(reactor, key, 404, "nobody has that name\n"),
+            Reply::Held(at, of) => self.tell(reactor, key, 200, &format!("yes, at {at} of {of} nodes\n")),
+            Reply::NoFleet => self.tell(reactor, key, 404, "this node knows no others\n"),
+        }
+    }
+
+    /// Answers a caller in words, if it is still there.
+    pub fn tell(&mut self, reactor: &mut Reactor, key: usize, status: u16, words: &str) {
         self.with(reactor, key, |connection, caller| {
             if caller.waits {
-                answer(connection, caller, status, None, word);
+                answer(connection, caller, status, None, words);
             }
         });
         reactor.timer(reactor.now + LINGER, Due::Caller(key));
@@ -321,6 +330,8 @@
             ("POST", "/v1/node/drain", Ok(Call::Drain)),
             ("POST", "/v1/node/activate", Ok(Call::Activate)),
             ("GET", "/v1/node/drain", Err(405)),
+            ("GET", "/v1/fleet/members", Ok(Call::Members)),
+            ("POST", "/v1/fleet/members", Err(405)),
             ("POST", "/v1/node", Err(404)),
             ("POST", "/v1/node/drain/", Err(404)),
             ("POST", "//v1/node/drain", Err(404)),
--- a/src/net/ground/reactor.rs
+++ b/src/net/ground/reactor.rs
@@ -27,12 +27,22 @@
     Farm,
     /// The store's, which tells what has become of writes.
     Store,
+    /// Other nodes'.
+    Peers,
     /// A signal to stop or to reload.
     Signal,
 }
 
-const OWNERS: [Owner; 7] =
-    [Owner::Farm, Owner::Door, Owner::Handover, Owner::Store, Owner::Pass, Owner::Agent, Owner::Signal];
+const OWNERS: [Owner; 8] = [
+    Owner::Farm,
+    Owner::Door,
+    Owner::Handover,
+    Owner::Store,
+    Owner::Pass,
+    Owner::Agent,
+    Owner::Peers,
+    Owner::Signal,
+];
 
 /// Whose socket a key is.
 pub fn owner(key: usize) -> Owner {
@@ -46,6 +56,8 @@
     Hub(words::Due),
     /// A look at the links to other processes of this node.
     Handover,
+    /// What other nodes are owed, or are waited for; this look is the one of that number.
+    Peers(u64),
     /// A caller at the operators' door.
     Caller(usize),
     /// Callers are taken again.
--- a/src/net/hub/transaction.rs
+++ b/src/net/hub/transaction.rs
@@ -288,6 +288,11 @@
                 let reply = self.employ(now, &name, again, out);
                 out.push(Command::Operator(caller, reply));
             }
+            Input::Banned(name, again) => {
+                // It may be known elsewhere before this node has it from the list.
+                self.number(&name);
+                self.employ(now, &name, again, out);
+            }
             Input::Tale(link, tale) => self.heard(now, link, tale, out),
             Input::Moved(link, agent, job) => {
                 if self.carry_on(now, link, agent, &job, out).is_none() {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -11,6 +11,7 @@
 use crate::net::hub::keeping::Keeping;
 use crate::net::hub::lifecycle::{Lifecycle, Stage};
 use crate::net::hub::transaction::Hub;
+use crate::net::peers::fleet::{self, Fleet};
 use crate::net::peers::handover::{self, Handover};
 use crate::net::words::{self, AgentId, Command, Input, Reply};
 use polling::Event;
@@ -120,6 +121,9 @@
     keeper: Option<Keeper>,
     door: Option<Door>,
     handover: Option<Handover>,
+    fleet: Option<Fleet>,
+    /// Callers at the door whose ban the fleet is to be told of, once it holds here.
+    bans: HashMap<usize, (String, bool)>,
     links: Links,
     room: Room,
     life: Lifecycle,
@@ -147,9 +151,11 @@
         let mut settings = config.settings;
         // Before anybody can call: a call-back that came earlier would meet a node that knows of nothing.
         let mut known = config.known;
+        let mut bans_kept = Vec::new();
         let kept = match &config.store {
             Some(section) => {
-                let (keeper, mut ledger, list) = Keeper::start(&mut reactor, section, &config.name)?;
+                let (keeper, mut ledger, list, bans) = Keeper::start(&mut reactor, section, &config.name)?;
+                bans_kept = bans;
                 if let Some(list) = list {
                     known = list.or(known, config.discovery);
                 }
@@ -208,7 +214,10 @@
         }
         let handover = folder
             .map(|folder| Handover::start(&mut reactor, &folder, &config.name, &config.listen.to_string()));
-        let (links, life) = Default::default();
+        let fleet =
+            config.fleet.map(|section| Fleet::start(&mut reactor, section, &config.name, &bans_kept, shared));
+        let fleet = fleet.transpose()?;
+        let (links, life, bans) = Default::default();
         Ok(Self {
             clock,
             reactor,
@@ -219,6 +228,8 @@
             keeper,
             door,
             handover,
+            fleet,
+            bans,
             links,
             room,
             life,
@@ -288,6 +299,9 @@
                 self.due(due);
             }
         }
+        if let Some(fleet) = &mut self.fleet {
+            fleet.leave(&mut self.reactor);
+        }
         Ok(())
     }
 
@@ -302,6 +316,10 @@
                 let events = self.handover.as_mut().map(|h| h.ready(reactor, key, readable));
                 self.linked(events.unwrap_or_default());
             }
+            Owner::Peers => {
+                let events = self.fleet.as_mut().map(|fleet| fleet.ready(reactor, key));
+                self.told_by_fleet(events.unwrap_or_default());
+            }
             Owner::Agent => self.agents.ready(reactor, key, readable, writable),
             Owner::Pass => self.passes.ready(reactor, key, readable, writable),
             Owner::Farm => self.farm.ready(reactor, key, readable, writable),
@@ -323,6 +341,10 @@
                 let events = self.handover.as_mut().map(|h| h.due(reactor));
                 self.linked(events.unwrap_or_default());
             }
+            Due::Peers(number) => {
+                let events = self.fleet.as_mut().map(|fleet| fleet.due(reactor, number));
+                self.told_by_fleet(events.unwrap_or_default());
+            }
             Due::Caller(key) => {
                 if let Some(door) = &mut self.door {
                     door.due(reactor, key);
@@ -351,6 +373,10 @@
                 if let (Some(keeper), Some(list)) = (&mut self.keeper, self.farm.changed()) {
                     keeper.keep_farm(&list);
                 }
+                let bans = self.fleet.as_mut().and_then(Fleet::changed);
+                if let (Some(keeper), Some(bans)) = (&mut self.keeper, bans) {
+                    keeper.keep_bans(&bans);
+                }
                 reactor.timer(reactor.now + FARM_KEPT, Due::FarmKept);
             }
             Due::WindUp if self.life.stage() == Stage::HandingOver => {
@@ -399,13 +425,22 @@
                 }
                 Call::Activate => self.activate(),
                 Call::Suspend(id) => {
-                    self.reactor.queue.push_back(Input::Use(key, id, false));
+                    self.employ(key, id, false);
                     continue;
                 }
                 Call::Resume(id) => {
-                    self.reactor.queue.push_back(Input::Use(key, id, true));
+                    self.employ(key, id, true);
                     continue;
                 }
+                Call::Members => {
+                    let picture = self.fleet.as_ref().and_then(Fleet::picture);
+                    let text = picture.and_then(|picture| serde_json::to_string(&picture).ok());
+                    if let (Some(door), Some(text)) = (&mut self.door, text) {
+                        door.tell(&mut self.reactor, key, 200, &(text + "\n"));
+                        continue;
+                    }
+                    Reply::NoFleet
+                }
             };
             if let Some(door) = &mut self.door {
                 door.answer(&mut self.reactor, key, reply);
@@ -413,6 +448,44 @@
         }
     }
 
+    /// Takes a worker out of use, or back into it, on the word of a caller at the door.
+    fn employ(&mut self, key: usize, id: String, again: bool) {
+        if self.fleet.is_some() {
+            self.bans.insert(key, (id.clone(), again));
+        }
+        self.reactor.queue.push_back(Input::Use(key, id, again));
+    }
+
+    /// What became of a caller's word on a worker here: where it holds, and there are other nodes, they are told first.
+    fn operator(&mut self, key: usize, reply: Reply) {
+        let ban = self.bans.remove(&key).filter(|_| reply == Reply::Yes);
+        if let (Some((worker, again)), Some(fleet)) = (ban, &mut self.fleet) {
+            let (told, events) = fleet.employ(&mut self.reactor, Some(key), &worker, again);
+            self.told_by_fleet(events);
+            if told {
+                return;
+            }
+        }
+        if let Some(door) = &mut self.door {
+            door.answer(&mut self.reactor, key, reply);
+        }
+    }
+
+    fn told_by_fleet(&mut self, events: Vec<fleet::Event>) {
+        for event in events {
+            match event {
+                fleet::Event::Ban(worker, again) => {
+                    self.reactor.queue.push_back(Input::Banned(worker, again));
+                }
+                fleet::Event::Held(key, at, of) => {
+                    if let Some(door) = &mut self.door {
+                        door.answer(&mut self.reactor, key, Reply::Held(at, of));
+                    }
+                }
+            }
+        }
+    }
+
     /// Drains the node, or goes on with a drain that another process of it has begun so long ago.
     fn drain(&mut self, link: Option<usize>, ago: f64) {
         if !self.life.drained() {
@@ -461,6 +534,9 @@
             tracing::info!("handing over");
             self.life.hand_over(true);
             self.agents.listen(&self.reactor, false);
+            if let Some(fleet) = &mut self.fleet {
+                fleet.yield_place(&self.reactor);
+            }
             self.heed();
             self.tell(None, &Message::Leaves);
         }
@@ -585,7 +661,14 @@
                 self.activate();
             }
             News::Tale(Tale::List(kept)) => self.farm.take_over(&mut self.reactor, &kept),
-            News::Tale(tale) => self.reactor.queue.push_back(Input::Tale(link, tale)),
+            News::Tale(tale) => {
+                // Of two processes one has the place among the nodes, and tells them.
+                if let (Tale::Use { worker, again }, Some(fleet)) = (&tale, &mut self.fleet) {
+                    let (_, events) = fleet.employ(&mut self.reactor, None, worker, *again);
+                    self.told_by_fleet(events);
+                }
+                self.reactor.queue.push_back(Input::Tale(link, tale));
+            }
             News::Told => self.begin(),
             News::Holds(most) => {
                 self.links.holds.insert(link, most as usize);
@@ -693,11 +776,7 @@
                     }
                     Command::Withdraw(pass) => self.passes.withdraw(reactor, pass),
                     Command::Forget(worker) => self.passes.forget(reactor, worker),
-                    Command::Operator(key, reply) => {
-                        if let Some(door) = &mut self.door {
-                            door.answer(reactor, key, reply);
-                        }
-                    }
+                    Command::Operator(key, reply) => self.operator(key, reply),
                     Command::Answer(agent, answer) => self.agents.answer(reactor, agent, &answer),
                     Command::Acknowledge(agent, known) => self.acknowledge(agent, known),
                     Command::Forward(agent, call) => self.forward(agent, call),
--- /dev/null
+++ b/src/net/peers/fleet.rs
@@ -0,0 +1,352 @@
+//! The sockets to other nodes: it moves datagrams between them and the machine that knows who is there, and words
+//! what the operators' door is asked.
+
+use crate::net::ground::reactor::{Due, Owner, Reactor};
+use crate::operator::FleetSection;
+use postproxy_members::{Life, Mark, Members, News, Out};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+
+/// Datagrams read in one turn of the loop: other nodes never hold up a job.
+const MOST_READ: usize = 64;
+/// How often it is looked whether an older process of this node has left the place free.
+const PLACE: f64 = 0.05;
+/// A caller waits 1 s; own time may go slower than that.
+const ANSWER: f64 = 0.8;
+/// Datagrams dropped are logged so often, in seconds.
+const DROPS: f64 = 60.0;
+
+/// What the node is to know of.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A worker is out of use for the fleet, or back in it.
+    Ban(String, bool),
+    /// A caller at the door is to be told that its ban holds at so many of so many nodes.
+    Held(usize, usize, usize),
+}
+
+/// A node as the door shows it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Shown {
+    /// Its name.
+    pub name: String,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Grows with each life.
+    pub incarnation: u64,
+    /// `here`, `alive`, `suspect`, `failed` or `left`.
+    pub state: String,
+    /// Whether it votes.
+    pub voter: bool,
+}
+
+/// What the door shows of the fleet.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Picture {
+    /// The fleet's name.
+    pub cluster: String,
+    /// The name of the node that tells.
+    pub node: String,
+    /// Whether it is a member itself; else who bears its name, if that is why.
+    pub member: bool,
+    /// See above.
+    pub namesake: Option<SocketAddr>,
+    /// How things stand.
+    pub standing: String,
+    /// Why.
+    pub reasons: Vec<String>,
+    /// All that are known, this node first.
+    pub members: Vec<Shown>,
+    /// Nodes that it should hear directly and does not.
+    pub unheard: Vec<String>,
+    /// How far this process is from well (0 to 8), and the seconds that it has missed.
+    pub ill: f64,
+    /// See above.
+    pub missed_s: f64,
+    /// Workers out of use for the fleet.
+    pub bans: Vec<String>,
+    /// Datagrams dropped, by why.
+    pub dropped: std::collections::BTreeMap<String, u64>,
+}
+
+struct Place {
+    socket: UdpSocket,
+    key: usize,
+    members: Members,
+}
+
+/// The other nodes.
+pub struct Fleet {
+    section: FleetSection,
+    name: String,
+    /// None while an older process of this node holds it, and after this one has let go.
+    place: Option<Place>,
+    /// It has let go.
+    over: bool,
+    /// What is kept from an earlier life.
+    restored: Vec<(String, Mark)>,
+    /// Looks asked for: the latest, and when it comes.
+    look: (u64, f64),
+    /// Callers at the door by their ticket, and when they are answered at the latest.
+    callers: HashMap<u64, (usize, f64)>,
+    /// The digest of the bans that are kept.
+    kept: u64,
+    /// Datagrams dropped when they were logged last, and when that was.
+    logged: (u64, f64),
+}
+
+impl Fleet {
+    /// Takes its place among the nodes; where an older process of this node may hold it, waits for that.
+    ///
+    /// # Errors
+    ///
+    /// In plain words, if it can't be listened there, or the node has no name.
+    pub fn start(
+        reactor: &mut Reactor,
+        section: FleetSection,
+        name: &str,
+        kept: &[u8],
+        shared: bool,
+    ) -> Result<Self, String> {
+        if name.is_empty() || name.len() > postproxy_members::MOST_NAME {
+            return Err(format!("fleet: the node's name '{name}' must have 1 to 64 bytes"));
+        }
+        let restored = postcard::from_bytes(kept).unwrap_or_default();
+        let (place, callers) = (None, HashMap::new());
+        let (look, logged) = ((0, f64::INFINITY), (0, reactor.now));
+        let name = name.to_owned();
+        let mut fleet = Self { section, name, place, over: false, restored, look, callers, kept: 0, logged };
+        match fleet.take_place(reactor) {
+            Ok(()) => {}
+            Err(error) if shared && error.kind() == ErrorKind::AddrInUse => {
+                tracing::info!(listen = %fleet.section.listen, "waiting for the place among the nodes");
+            }
+            Err(error) => return Err(format!("fleet.listen: {}: {error}", fleet.section.listen)),
+        }
+        fleet.plan(reactor);
+        Ok(fleet)
+    }
+
+    fn take_place(&mut self, reactor: &mut Reactor) -> std::io::Result<()> {
+        let socket = UdpSocket::bind(self.section.listen)?;
+        socket.set_nonblocking(true)?;
+        let key = reactor.register(&socket, Owner::Peers)?;
+        reactor.rearm(&socket, key, (true, false));
+        let told = self.section.told(socket.local_addr()?);
+        // The life must differ from every other's: from the system's own chance, not from the seed.
+        let seed = RandomState::new().build_hasher().finish();
+        let started = (reactor.now * 1000.0) as u64;
+        let mut members = Members::new(self.section.settings(), &self.name, told, started, seed, reactor.now);
+        members.restore(self.restored.drain(..));
+        self.kept = members.digest();
+        tracing::info!(name = self.name, address = %told, cluster = self.section.cluster, "among the nodes");
+        self.place = Some(Place { socket, key, members });
+        Ok(())
+    }
+
+    /// Has itself called when there is next something to do.
+    fn plan(&mut self, reactor: &mut Reactor) {
+        if self.over {
+            return;
+        }
+        let at = match &self.place {
+            Some(place) => place.members.next().unwrap_or(f64::INFINITY),
+            None => reactor.now + PLACE,
+        };
+        let at = self.callers.values().map(|(_, until)| *until).fold(at, f64::min);
+        if at < self.look.1 {
+            self.look = (self.look.0 + 1, at);
+            reactor.timer(at, Due::Peers(self.look.0));
+        }
+    }
+
+    /// The look of this number is due.
+    pub fn due(&mut self, reactor: &mut Reactor, number: u64) -> Vec<Event> {
+        if number != self.look.0 || self.over {
+            return Vec::new(); // an earlier one took its place
+        }
+        self.look.1 = f64::INFINITY;
+        if self.place.is_none() {
+            match self.take_place(reactor) {
+                Err(error) if error.kind() != ErrorKind::AddrInUse => {
+                    tracing::error!(listen = %self.section.listen, %error, "no place among the nodes");
+                }
+                _ => {}
+            }
+        }
+        let mut out = Vec::new();
+        if let Some(place) = &mut self.place {
+            place.members.due(reactor.now, &mut out);
+            for (ticket, _) in self.callers.iter().filter(|(_, (_, until))| *until <= reactor.now) {
+                place.members.press(reactor.now, *ticket, &mut out);
+            }
+        }
+        self.carry(reactor, out)
+    }
+
+    /// Datagrams have come.
+    pub fn ready(&mut self, reactor: &mut Reactor, key: usize) -> Vec<Event> {
+        let Some(place) = self.place.as_mut().filter(|place| place.key == key) else { return Vec::new() };
+        let (mut out, mut bytes) = (Vec::new(), [0; 2048]);
+        for _ in 0..MOST_READ {
+            match place.socket.recv_from(&mut bytes) {
+                Ok((size, _)) => place.members.receive(reactor.now, &bytes[..size], &mut out),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                // An error is that of an earlier datagram, which nobody took.
+                Err(_) => {}
+            }
+        }
+        reactor.rearm(&place.socket, place.key, (true, false));
+        self.carry(reactor, out)
+    }
+
+    /// A worker is taken out of use, or back into it, here: the fleet is told, and who asked for it in the end.
+    /// Without a place there is nobody to tell: `false`.
+    pub fn employ(
+        &mut self,
+        reactor: &mut Reactor,
+        caller: Option<usize>,
+        worker: &str,
+        again: bool,
+    ) -> (bool, Vec<Event>) {
+        let Some(place) = &mut self.place else { return (false, Vec::new()) };
+        let mut out = Vec::new();
+        let Some(ticket) = place.members.employ(reactor.now, worker, again, &mut out) else {
+            tracing::error!(worker, "too many workers are out of use: told to nobody");
+            return (false, Vec::new());
+        };
+        if let Some(caller) = caller {
+            self.callers.insert(ticket, (caller, reactor.now + ANSWER));
+        }
+        (true, self.carry(reactor, out))
+    }
+
+    /// Lets go without a word: a newer process of this node takes the place.
+    pub fn yield_place(&mut self, reactor: &Reactor) {
+        self.over = true;
+        if let Some(place) = self.place.take() {
+            reactor.forget(&place.socket);
+        }
+    }
+
+    /// Leaves in good order.
+    pub fn leave(&mut self, reactor: &mut Reactor) {
+        let mut out = Vec::new();
+        if let Some(place) = &mut self.place {
+            place.members.leave(reactor.now, &mut out);
+        }
+        self.carry(reactor, out);
+        self.yield_place(reactor);
+    }
+
+    /// The fleet's bans, if they have changed since they were kept.
+    pub fn changed(&mut self) -> Option<Vec<u8>> {
+        let members = &self.place.as_ref()?.members;
+        if members.digest() == std::mem::replace(&mut self.kept, members.digest()) {
+            return None;
+        }
+        postcard::to_stdvec(&members.bans()).ok()
+    }
+
+    /// What the door shows.
+    pub fn picture(&self) -> Option<Picture> {
+        let members = &self.place.as_ref()?.members;
+        let voter = |name: &str| self.section.voters.iter().any(|voter| voter == name);
+        let shown = |(id, state): (&postproxy_members::Identity, &str)| Shown {
+            name: id.name.to_string(),
+            address: id.address,
+            incarnation: id.incarnation,
+            state: state.to_owned(),
+            voter: voter(&id.name),
+        };
+        let word = |life| match life {
+            Life::Alive => "alive",
+            Life::Suspect => "suspect",
+            Life::Failed => "failed",
+            Life::Left => "left",
+        };
+        let others = members.others().map(|(id, life)| shown((id, word(life))));
+        let out = |mark: &(String, Mark)| (mark.1.given > mark.1.undone).then(|| mark.0.clone());
+        let bans: std::collections::BTreeSet<String> = members.bans().iter().filter_map(out).collect();
+        let (ill, missed_s) = members.health();
+        Some(Picture {
+            cluster: self.section.cluster.clone(),
+            node: self.name.clone(),
+            member: members.is_in(),
+            namesake: members.namesake(),
+            standing: members.standing().word().to_owned(),
+            reasons: members.standing().reasons(),
+            members: std::iter::once(shown((members.me(), "here"))).chain(others).collect(),
+            unheard: members.deaf().cloned().collect(),
+            ill,
+            missed_s,
+            bans: bans.into_iter().collect(),
+            dropped: members.dropped().iter().map(|(flaw, n)| (flaw.word().to_owned(), *n)).collect(),
+        })
+    }
+
+    /// Sends what is to be sent, logs what is new, and gives what the node is to know.
+    fn carry(&mut self, reactor: &mut Reactor, out: Vec<Out>) -> Vec<Event> {
+        let mut events = Vec::new();
+        for out in out {
+            match out {
+                Out::Send(to, bytes) => {
+                    if let Some(place) = &self.place {
+                        // One that can't be sent is one that is lost.
+                        let _ = place.socket.send_to(&bytes, to);
+                    }
+                }
+                Out::News(News::Ban(worker, out)) => events.push(Event::Ban(worker, !out)),
+                Out::News(News::Held(ticket, at, of)) => {
+                    if let Some((caller, _)) = self.callers.remove(&ticket) {
+                        events.push(Event::Held(caller, at, of));
+                    }
+                }
+                Out::News(news) => log(&news),
+            }
+        }
+        self.log_drops(reactor.now);
+        self.plan(reactor);
+        events
+    }
+
+    fn log_drops(&mut self, now: f64) {
+        let Some(place) = &self.place else { return };
+        if now < self.logged.1 {
+            return;
+        }
+        let all: u64 = place.members.dropped().values().sum();
+        if all > self.logged.0 {
+            let by: Vec<String> =
+                place.members.dropped().iter().map(|(flaw, n)| format!("{} {n}", flaw.word())).collect();
+            tracing::warn!(since_start = by.join(", "), "datagrams were dropped");
+            self.logged = (all, now + DROPS);
+        }
+    }
+}
+
+fn log(news: &News) {
+    match news {
+        News::Up(id) => {
+            tracing::info!(name = &*id.name, address = %id.address, id.incarnation, "a node is there")
+        }
+        News::Moved(id) => {
+            tracing::info!(name = &*id.name, address = %id.address, id.incarnation, "a node is there anew");
+        }
+        News::Failed(id) => tracing::warn!(name = &*id.name, address = %id.address, "a node has failed"),
+        News::Left(id) => tracing::info!(name = &*id.name, "a node has left"),
+        News::Returned(incarnation) => {
+            tracing::warn!(incarnation, "others had called this node failed: it is back");
+        }
+        News::Namesake(at) => {
+            tracing::error!(%at, "another process has this node's name: this one is no member, and serves alone");
+        }
+        News::Standing(standing) => {
+            tracing::info!(%standing, why = standing.reasons().join("; "), "how things stand");
+        }
+        News::Ban(..) | News::Held(..) => {}
+    }
+}
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -1,4 +1,5 @@
-//! Who works beside this process: other processes of this node. It moves messages; what they mean is decided
+//! Who works beside this process: other processes of this node, and other nodes. It moves messages; what they mean is decided
 //! elsewhere.
 
+pub mod fleet;
 pub mod handover;
--- a/src/net/words.rs
+++ b/src/net/words.rs
@@ -135,6 +135,8 @@
     Farm(ListKind, Vec<Member>),
     /// A caller at the operators' door takes the worker of this name out of use, or back into it.
     Use(usize, String, bool),
+    /// The fleet's word on the use of the worker of this name.
+    Banned(String, bool),
     /// News of another process of this node, by its link.
     Tale(usize, Tale),
     /// A link is over: what its process held is gone.
@@ -238,4 +240,8 @@
     NotNow,
     /// Nobody has that name.
     Nobody,
+    /// It is so here, and holds at so many of so many nodes.
+    Held(usize, usize),
+    /// This node knows no others.
+    NoFleet,
 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::fmt;
+use std::net::SocketAddr;
 
 /// All sections.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
@@ -15,6 +16,148 @@
     pub log: Log,
     /// What is kept of jobs beyond the node's life.
     pub store: Option<StoreSection>,
+    /// The other nodes.
+    pub fleet: Option<FleetSection>,
+}
+
+/// The section on the other nodes.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSection {
+    /// The fleet's name: words of another are dropped.
+    pub cluster: String,
+    /// Where other nodes' words come in.
+    pub listen: SocketAddr,
+    /// What others are told; by default where it listens.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// Whom to ask at the start; may hold the node itself.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Names of the nodes by whose majority a cut is judged.
+    #[serde(default)]
+    pub voters: Vec<String>,
+    /// How often another node is probed, in milliseconds.
+    #[serde(default = "probe_ms")]
+    pub probe_ms: u64,
+    /// How long its answer may take before others are asked to probe it, too.
+    #[serde(default = "answer_ms")]
+    pub answer_ms: u64,
+    /// How long a suspect has to say that it lives.
+    #[serde(default = "suspicion_ms")]
+    pub suspicion_ms: u64,
+    /// How often news are passed on, while there are any.
+    #[serde(default = "gossip_ms")]
+    pub gossip_ms: u64,
+    /// How often hello is said; who is silent for 3.5 of these is not heard.
+    #[serde(default = "hello_ms")]
+    pub hello_ms: u64,
+    /// How often nodes that have failed are asked whether they are back.
+    #[serde(default = "look_back_ms")]
+    pub look_back_ms: u64,
+}
+
+fn probe_ms() -> u64 {
+    300
+}
+
+fn answer_ms() -> u64 {
+    100
+}
+
+fn suspicion_ms() -> u64 {
+    1200
+}
+
+fn gossip_ms() -> u64 {
+    100
+}
+
+fn hello_ms() -> u64 {
+    500
+}
+
+fn look_back_ms() -> u64 {
+    1000
+}
+
+impl FleetSection {
+    /// What other nodes are told, where it listens there.
+    pub fn told(&self, bound: SocketAddr) -> SocketAddr {
+        self.advertise.unwrap_or(bound)
+    }
+
+    /// What a member goes by.
+    pub fn settings(&self) -> postproxy_members::Settings {
+        let seconds = |ms: u64| ms as f64 / 1000.0;
+        postproxy_members::Settings {
+            cluster: self.cluster.clone(),
+            seeds: self.seeds.clone(),
+            voters: self.voters.iter().cloned().collect(),
+            probe: seconds(self.probe_ms),
+            answer: seconds(self.answer_ms),
+            suspicion: seconds(self.suspicion_ms),
+            gossip: seconds(self.gossip_ms),
+            hello: seconds(self.hello_ms),
+            look_back: seconds(self.look_back_ms),
+        }
+    }
+
+    /// All that is wrong with it.
+    fn check(&self) -> Result<(), Problem> {
+        let mut wrong: Vec<(String, &str)> = Vec::new();
+        if self.cluster.is_empty() {
+            wrong.push(("cluster".into(), "names no cluster"));
+        }
+        match self.advertise {
+            Some(told) if told.is_ipv4() != self.listen.is_ipv4() => {
+                wrong.push(("advertise".into(), "is of another family of addresses than fleet.listen"));
+            }
+            Some(told) if told.ip().is_unspecified() || told.port() == 0 => {
+                wrong.push(("advertise".into(), "is no address that others could reach"));
+            }
+            None if self.listen.ip().is_unspecified() => {
+                wrong.push(("advertise".into(), "must be given where fleet.listen is no single address"));
+            }
+            _ => {}
+        }
+        for (n, seed) in self.seeds.iter().enumerate() {
+            if seed.is_ipv4() != self.listen.is_ipv4() {
+                wrong.push((format!("seeds[{n}]"), "is of another family of addresses than fleet.listen"));
+            }
+        }
+        if self.voters.len().is_multiple_of(2) || self.voters.len() > 7 {
+            wrong.push(("voters".into(), "must name 1, 3, 5 or 7 nodes"));
+        }
+        for (n, voter) in self.voters.iter().enumerate() {
+            if voter.is_empty() || voter.len() > postproxy_members::MOST_NAME {
+                wrong.push((format!("voters[{n}]"), "must be a name of 1 to 64 bytes"));
+            }
+            if self.voters[..n].contains(voter) {
+                wrong.push((format!("voters[{n}]"), "is named twice"));
+            }
+        }
+        let times = [
+            ("probe_ms", self.probe_ms),
+            ("answer_ms", self.answer_ms),
+            ("suspicion_ms", self.suspicion_ms),
+            ("gossip_ms", self.gossip_ms),
+            ("hello_ms", self.hello_ms),
+            ("look_back_ms", self.look_back_ms),
+        ];
+        for (name, ms) in times {
+            if !(10..=600_000).contains(&ms) {
+                wrong.push((name.into(), "must be between 10 and 600000"));
+            }
+        }
+        if self.answer_ms * 2 > self.probe_ms {
+            wrong.push(("answer_ms".into(), "must be at most half of fleet.probe_ms"));
+        }
+        let mut wrong = wrong.into_iter();
+        let Some((path, what)) = wrong.next() else { return Ok(()) };
+        let what = wrong.fold(what.to_owned(), |all, (path, what)| format!("{all}; fleet.{path}: {what}"));
+        Err(Problem { path: format!("fleet.{path}"), what })
+    }
 }
 
 /// The section on what is kept.
@@ -178,7 +321,8 @@
 
     fn check(&self) -> Result<(), Problem> {
         self.log.check().map_err(|what| Problem { path: "log.levels".into(), what })?;
-        self.store.as_ref().map_or(Ok(()), StoreSection::check)
+        self.store.as_ref().map_or(Ok(()), StoreSection::check)?;
+        self.fleet.as_ref().map_or(Ok(()), FleetSection::check)
     }
 }
 
@@ -218,6 +362,28 @@
                 "between",
             ),
             (r#"{} {}"#, ".", "trailing"),
+            (r#"{"fleet": {"cluster": "c", "listen": "x"}}"#, "fleet.listen", "socket address"),
+            (r#"{"fleet": {"cluster": "c", "listen": "127.0.0.1:1"}}"#, "fleet.voters", "1, 3, 5 or 7"),
+            (
+                r#"{"fleet": {"cluster": "c", "listen": "127.0.0.1:1", "voters": ["a"], "seeds": ["127.0.0.1"]}}"#,
+                "fleet.seeds[0]",
+                "socket address",
+            ),
+            (
+                r#"{"fleet": {"cluster": "", "listen": "127.0.0.1:1", "advertise": "[::1]:1", "voters": ["a", "b", "a"]}}"#,
+                "fleet.cluster",
+                "names no cluster; fleet.advertise: is of another family of addresses than fleet.listen; fleet.voters[2]: is named twice",
+            ),
+            (
+                r#"{"fleet": {"cluster": "c", "listen": "0.0.0.0:1", "voters": ["a"]}}"#,
+                "fleet.advertise",
+                "must be",
+            ),
+            (
+                r#"{"fleet": {"cluster": "c", "listen": "127.0.0.1:1", "voters": ["a"], "answer_ms": 200}}"#,
+                "fleet.answer_ms",
+                "half",
+            ),
         ];
         for (text, path, what) in cases {
             let problem = Operator::from_json(text).expect_err(text);
