Test several processes of the program through relays, pauses, kills, cuts and noise

Need: what the nodes know of each other was shown in simulation alone.

Change: crates/faults starts processes on loopback addresses of their own, leads their datagrams through relays that fail in each direction by itself, and keeps a history; tests/nodes.rs has eight tests of three and five processes: kill and leave, pauses of 1, 4 and 20 s, all paused, one way and a line, two and three of five with a flapping link, bans on both sides of a cut and over a restart of all, two of one name, noise.

--- /dev/null
+++ b/crates/faults/src/lib.rs
@@ -0,0 +1,31 @@
+//! For tests and trials, no part of the node: starts processes of the program on loopback addresses of their own, leads
+//! what they say to each other through relays that can fail in each direction by itself, and stops, wakes and kills them.
+//!
+//! [`Net`] is the network, [`Process`] a process, [`History`] what was done and seen, for the message of a test that fails.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod history;
+mod net;
+mod process;
+
+pub use history::History;
+pub use net::{Link, Net, addresses};
+pub use process::Process;
+
+use std::time::{Duration, Instant};
+
+/// Waits for a condition; whether it came to hold within the time.
+pub fn wait(most: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let start = Instant::now();
+    loop {
+        if holds() {
+            return true;
+        }
+        if start.elapsed() > most {
+            return false;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- /dev/null
+++ b/tests/nodes.rs
@@ -0,0 +1,373 @@
+//! Several processes of the real program that know each other, and faults between and in them.
+
+use postproxy::net::peers::fleet::Picture;
+use postproxy::standin::{Discovery, Worker, ask};
+use postproxy_faults::{History, Link, Net, Process, addresses, wait};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+/// The longest that is waited for what must come; it comes much sooner.
+const MOST: Duration = Duration::from_secs(60);
+
+struct Node {
+    name: String,
+    process: Option<Process>,
+    client: SocketAddr,
+    door: SocketAddr,
+    folder: PathBuf,
+}
+
+/// Nodes with one discovery and three workers; what the nodes say to each other goes through relays.
+struct Fleet {
+    nodes: Vec<Node>,
+    net: Net,
+    history: History,
+    folder: PathBuf,
+    _workers: Vec<Worker>,
+    stored: bool,
+}
+
+fn folder() -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("postproxy-nodes-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+impl Fleet {
+    /// So many nodes with three seeds at most, all of them voters where they are odd.
+    fn new(count: usize, seed: u64, stored: bool) -> Self {
+        let folder = folder();
+        let workers: Vec<Worker> = (0..3)
+            .map(|n| Worker::start(&format!("w-{n}"), Duration::from_millis(20)).expect("a worker"))
+            .collect();
+        let discovery = Discovery::start(&workers).expect("discovery");
+        let own = addresses(count as u8);
+        let at: Vec<SocketAddr> = own.iter().map(|ip| SocketAddr::new(*ip, 7946)).collect();
+        let net = Net::start(&at, seed).expect("relays");
+        // A seed that never answers, and the node itself, among them.
+        let mut seeds: Vec<String> = (0..count.min(3)).map(|n| net.relay(n).to_string()).collect();
+        seeds.insert(0, "127.0.0.1:9".into());
+        let voters: Vec<String> = (0..count | 1).map(|n| format!("n{n}")).collect();
+        let nodes = (0..count).map(|n| {
+            let name = format!("n{n}");
+            let mine = folder.join(&name);
+            std::fs::create_dir_all(&mine).expect("a folder");
+            let (client, door) = (SocketAddr::new(own[n], 8080), SocketAddr::new(own[n], 8081));
+            let config = serde_json::json!({
+                "name": name, "listen": client.to_string(), "mgmt": door.to_string(),
+                "discovery": discovery.address.to_string(), "seed": "7",
+                "settings": {"balancers": count, "tick": 0.002, "discovery": "on_request", "dcs": ["riga"],
+                    "machine-types": ["std-4"], "services": [{"name": "reroute", "effect": "pure", "deadline": 6.0}],
+                    "limits": {"cancel": true, "conn-idle": 5.0, "dial-timeout": 0.25, "max-attempts": 3}}
+            });
+            std::fs::write(mine.join("config.json"), config.to_string()).expect("it is written");
+            let mut operator = serde_json::json!({"fleet": {"cluster": "riga", "listen": at[n].to_string(),
+                "advertise": net.relay(n).to_string(), "seeds": seeds, "voters": voters}});
+            if stored {
+                operator["store"] = serde_json::json!({"folder": mine.join("store").display().to_string()});
+            }
+            std::fs::write(mine.join("operator.json"), operator.to_string()).expect("it is written");
+            Node { name, process: None, client, door, folder: mine }
+        });
+        let nodes = nodes.collect();
+        let mut fleet = Self { nodes, net, history: History::default(), folder, _workers: workers, stored };
+        (0..count).for_each(|n| fleet.start(n));
+        fleet.whole();
+        fleet
+    }
+
+    fn start(&mut self, n: usize) {
+        let node = &mut self.nodes[n];
+        self.history.note(format!("start {}", node.name));
+        let (config, operator) = (node.folder.join("config.json"), node.folder.join("operator.json"));
+        let (config, operator) = (config.display().to_string(), operator.display().to_string());
+        let process = Process::start(
+            env!("CARGO_BIN_EXE_postproxy").as_ref(),
+            &["serve", "--operator", &operator],
+            &[("RELAY_CONFIG", &config)],
+            &node.folder.join("log"),
+        );
+        node.process = Some(process.expect("the program starts"));
+        let door = node.door;
+        let ready = || ask(door, "GET", "/v1/readyz", &[], b"").is_ok_and(|answer| answer.status == 200);
+        assert!(wait(MOST, ready), "n{n} is not ready: {}", self.told());
+    }
+
+    fn process(&mut self, n: usize) -> &mut Process {
+        self.nodes[n].process.as_mut().expect("it was started")
+    }
+
+    fn kill(&mut self, n: usize) {
+        self.history.note(format!("kill n{n}"));
+        self.process(n).kill();
+        self.nodes[n].process = None;
+    }
+
+    fn pause(&mut self, nodes: &[usize], time: Duration) {
+        self.history.note(format!("pause {nodes:?} for {time:?}"));
+        nodes.iter().for_each(|n| self.process(*n).pause());
+        std::thread::sleep(time);
+        nodes.iter().for_each(|n| self.process(*n).wake());
+        self.history.note(format!("wake {nodes:?}"));
+    }
+
+    fn picture(&self, n: usize) -> Option<Picture> {
+        let answer = ask(self.nodes[n].door, "GET", "/v1/fleet/members", &[], b"").ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    fn living(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|n| self.nodes[*n].process.is_some()).collect()
+    }
+
+    /// Waits until a condition holds for the picture that each of these nodes gives.
+    fn until(&self, what: &str, nodes: &[usize], holds: impl Fn(usize, &Picture) -> bool) {
+        let all = || nodes.iter().all(|n| self.picture(*n).is_some_and(|picture| holds(*n, &picture)));
+        assert!(wait(MOST, all), "{what}: {}", self.told());
+        self.history.note(what);
+    }
+
+    fn whole(&self) {
+        let living = self.living();
+        let names: Vec<&str> = living.iter().map(|n| self.nodes[*n].name.as_str()).collect();
+        self.until("whole", &living, |_, picture| {
+            let up = |name: &&str| {
+                picture
+                    .members
+                    .iter()
+                    .any(|m| m.name == **name && ["alive", "here"].contains(&m.state.as_str()))
+            };
+            picture.member && picture.standing == "whole" && names.iter().all(up)
+        });
+    }
+
+    fn suspend(&self, n: usize, worker: &str, again: bool) -> String {
+        let word = if again { "resume" } else { "suspend" };
+        let answer = ask(self.nodes[n].door, "POST", &format!("/v1/route-workers/{worker}/{word}"), &[], b"");
+        let answer = answer.expect("an answer");
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        self.history.note(format!("{word} {worker} at n{n}: {} {text}", answer.status));
+        assert_eq!(answer.status, 200);
+        text
+    }
+
+    fn bans(&self, what: &str, wanted: &[&str]) {
+        self.until(what, &self.living(), |_, picture| picture.bans == wanted);
+    }
+
+    /// How many lines of a node's log hold this.
+    fn lines(&self, n: usize, word: &str) -> usize {
+        let log = std::fs::read_to_string(self.nodes[n].folder.join("log")).unwrap_or_default();
+        log.lines().filter(|line| line.contains(word)).count()
+    }
+
+    /// All that a reader needs who wants to know why.
+    fn told(&self) -> String {
+        let picture = |n: &usize| {
+            format!("n{n}: {:?}\n{}\n", self.picture(*n), {
+                std::fs::read_to_string(self.nodes[*n].folder.join("log")).unwrap_or_default()
+            })
+        };
+        let pictures: String = self.living().iter().map(picture).collect();
+        format!("\n{}\n{pictures}\nlogs are in {}", self.history, self.folder.display())
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Guards against a death that is not seen, a leave that is told as one, and a node that is not back at once.
+#[test]
+fn a_node_is_killed_comes_back_and_leaves() {
+    let mut fleet = Fleet::new(3, 1, false);
+    fleet.kill(2);
+    fleet.until("n2 has failed", &[0, 1], |_, p| {
+        p.standing == "cut off with a majority"
+            && p.members.iter().any(|m| m.name == "n2" && m.state == "failed")
+    });
+    fleet.start(2);
+    fleet.whole();
+    fleet.process(2).end();
+    assert!(wait(MOST, || fleet.process(2).ended() == Some(true)), "it ends in good order");
+    fleet.nodes[2].process = None;
+    fleet.until("n2 has left", &[0, 1], |_, p| p.members.iter().any(|m| m.name == "n2" && m.state == "left"));
+    assert_eq!(fleet.lines(0, "a node has failed"), 1, "the kill alone: {}", fleet.told());
+}
+
+/// Guards against a node that blames others for its own pause, or does not learn at once that it was given up.
+#[test]
+fn who_was_stopped_blames_nobody_and_is_back() {
+    let mut fleet = Fleet::new(3, 2, false);
+    for seconds in [1, 4, 20] {
+        fleet.pause(&[1], Duration::from_secs(seconds));
+        fleet.whole();
+    }
+    assert_eq!(fleet.lines(1, "a node has failed"), 0, "it blames nobody: {}", fleet.told());
+    assert!(fleet.lines(1, "others had called this node failed") >= 1, "{}", fleet.told());
+    for n in [0, 2] {
+        let blamed = fleet.lines(n, "a node has failed");
+        let it = fleet.lines(n, "a node has failed name=\"n1\"");
+        assert_eq!(blamed, it, "others hear each other: {}", fleet.told());
+    }
+    let picture = fleet.picture(1).expect("a picture");
+    assert!(picture.missed_s > 20.0, "it knows what it missed: {}", picture.missed_s);
+}
+
+/// Guards against a fleet that falls apart where all were stopped at once, as on a machine that slept.
+#[test]
+fn a_whole_fleet_that_was_stopped_wakes_as_it_was() {
+    let mut fleet = Fleet::new(3, 3, false);
+    fleet.pause(&[0, 1, 2], Duration::from_secs(6));
+    fleet.whole();
+    (0..3).for_each(|n| assert_eq!(fleet.lines(n, "a node has failed"), 0, "{}", fleet.told()));
+}
+
+/// Guards against a cut one way, or between two that meet through a third, that is not seen or is taken for a death.
+#[test]
+fn one_way_cuts_and_lines_are_named() {
+    let fleet = Fleet::new(3, 4, false);
+    fleet.net.set(0, 1, Link { cut: true, ..Link::default() });
+    fleet.history.note("cut n0 to n1");
+    fleet.until("one way", &[0, 1, 2], |_, p| {
+        p.standing == "some pairs cut" && p.reasons == ["n1 does not hear n0"]
+    });
+    fleet.net.part(&[0], &[1]);
+    fleet.history.note("cut n1 to n0, too");
+    fleet.until("a line", &[0, 1, 2], |_, p| {
+        p.standing == "some pairs cut" && p.reasons == ["n0 does not hear n1", "n1 does not hear n0"]
+    });
+    fleet.net.heal();
+    fleet.whole();
+    (0..3).for_each(|n| assert_eq!(fleet.lines(n, "a node has failed"), 0, "{}", fleet.told()));
+}
+
+/// Guards against a side of a cut that takes itself for the other, and one that does not come together again.
+#[test]
+fn a_cut_in_two_and_three_of_five_heals_also_if_it_flaps() {
+    let fleet = Fleet::new(5, 5, false);
+    let (few, many) = ([0, 3], [1, 2, 4]);
+    fleet.net.part(&few, &many);
+    fleet.history.note("cut");
+    fleet.until("the few", &few, |_, p| p.standing == "cut off with a minority" && p.reasons.len() == 3);
+    fleet.until("the many", &many, |_, p| p.standing == "cut off with a majority" && p.reasons.len() == 2);
+    fleet.net.heal();
+    fleet.whole();
+    for _ in 0..8 {
+        fleet.net.part(&few, &many);
+        std::thread::sleep(Duration::from_millis(700));
+        fleet.net.heal();
+        std::thread::sleep(Duration::from_millis(700));
+    }
+    fleet.whole();
+    fleet.net.all(Link { loss: 0.1, twice: 0.2, late: Duration::from_millis(300), ..Link::default() });
+    std::thread::sleep(Duration::from_secs(5));
+    fleet.net.heal();
+    fleet.whole();
+}
+
+/// Guards against bans that end at one node, that sides of a cut disagree on for ever, or that a restart of all forgets.
+#[test]
+fn bans_hold_for_the_fleet_over_cuts_and_restarts() {
+    let mut fleet = Fleet::new(3, 6, true);
+    assert!(fleet.stored);
+    assert_eq!(fleet.suspend(0, "w-0", false), "yes, at 3 of 3 nodes\n");
+    fleet.bans("w-0 is out", &["w-0"]);
+    fleet.net.part(&[0], &[1, 2]);
+    fleet.history.note("cut");
+    // Told while the cut is not known yet, or is: it holds where it was given, and there alone.
+    assert_eq!(fleet.suspend(0, "w-0", true), "yes, at 1 of 3 nodes\n");
+    assert_eq!(fleet.suspend(1, "w-1", false), "yes, at 2 of 3 nodes\n");
+    fleet.suspend(0, "w-1", false);
+    // A resume that has not heard of the other side's suspend.
+    fleet.suspend(2, "w-1", true);
+    fleet.net.heal();
+    fleet.whole();
+    fleet.bans("they agree", &["w-1"]);
+    fleet.suspend(2, "w-2", false);
+    fleet.bans("two are out", &["w-1", "w-2"]);
+    // Long enough for the store's look at what has changed.
+    std::thread::sleep(Duration::from_millis(2500));
+    for n in 0..3 {
+        fleet.kill(n);
+    }
+    for n in [2, 0, 1] {
+        fleet.start(n);
+    }
+    fleet.whole();
+    fleet.bans("kept", &["w-1", "w-2"]);
+    assert_eq!(fleet.suspend(1, "w-1", true), "yes, at 3 of 3 nodes\n");
+    fleet.bans("w-1 is back", &["w-2"]);
+}
+
+/// Guards against two members of one name, and against one that ends because of it.
+#[test]
+fn of_two_processes_of_one_name_one_serves_alone() {
+    let mut fleet = Fleet::new(3, 7, false);
+    // n2's second process: the same name, all else its own.
+    let own = addresses(1)[0];
+    let folder = fleet.folder.join("twin");
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let change = |file: &str, changes: &[(&str, &str, String)]| {
+        let text = std::fs::read_to_string(fleet.nodes[2].folder.join(file)).expect("text");
+        let mut json: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        for (section, name, value) in changes {
+            let at = if section.is_empty() { &mut json } else { &mut json[*section] };
+            at[*name] = value.clone().into();
+        }
+        std::fs::write(folder.join(file), json.to_string()).expect("it is written");
+    };
+    let (client, door) = (SocketAddr::new(own, 8080), SocketAddr::new(own, 8081));
+    change("config.json", &[("", "listen", client.to_string()), ("", "mgmt", door.to_string())]);
+    let at = SocketAddr::new(own, 7946).to_string();
+    change("operator.json", &[("fleet", "listen", at.clone()), ("fleet", "advertise", at)]);
+    fleet.nodes.push(Node { name: "n2".into(), process: None, client, door, folder });
+    fleet.start(3);
+    let apart = |n: usize| fleet.picture(n).is_some_and(|p| p.namesake.is_some() && !p.member);
+    assert!(wait(MOST, || apart(2) != apart(3)), "one of them is apart: {}", fleet.told());
+    let (one, other) = if apart(2) { (2, 3) } else { (3, 2) };
+    let client = fleet.nodes[one].client;
+    let served = || {
+        let fields = [("X-Request-Id", "j-1"), ("X-Deadline", "5")];
+        ask(client, "GET", "/-/ready", &fields, b"").is_ok_and(|a| a.status == 200)
+    };
+    assert!(wait(MOST, served), "it serves alone: {}", fleet.told());
+    assert!(fleet.lines(one, "another process has this node's name") >= 1);
+    // When the other is gone, the name is free.
+    fleet.kill(other);
+    fleet.until("it is a member", &[one], |_, p| p.member && p.standing == "whole");
+}
+
+/// Guards against a datagram or a flood of them that changes the list, ends the process or holds up a job.
+#[test]
+fn noise_is_dropped_and_counted() {
+    let fleet = Fleet::new(3, 8, false);
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let mut draw = 7u64;
+    let mut next = || {
+        draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (draw >> 33) as u8
+    };
+    for length in 0..=1500 {
+        let mut bytes: Vec<u8> = (0..length).map(|_| next()).collect();
+        if length % 3 == 0 && length > 11 {
+            bytes[..3].copy_from_slice(&[b'P', b'M', 1]);
+        }
+        socket.send_to(&bytes, fleet.net.relay(0)).expect("it is sent");
+        if length % 50 == 0 {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+    fleet.until("it is counted", &[0], |_, p| p.dropped.values().sum::<u64>() > 500);
+    fleet.whole();
+    assert!(fleet.lines(0, "datagrams were dropped") <= 2, "one line a minute: {}", fleet.told());
+}
