Go by the number of nodes known, spread first calls by place, and postproxy fleet members

Need: what a worker back in use is owed, and the first calls at discovery, went by a guess in the settings and by chance.

Change: the module is told a number (Event::Balancers; the formula stays), members and those that have failed and not left; waits for a first list are spread by the place among the members; postproxy fleet members prints what a node sees. A node that knows no others does as before, to the bit.

--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -484,6 +484,12 @@
         1 + self.table.values().filter(|(_, state)| *state != Life::Left).count()
     }
 
+    /// This node's place by name among the members that it knows, from 0, and their number.
+    pub fn place(&self) -> (usize, usize) {
+        let before = self.alive().filter(|peer| peer.name < self.me.name).count();
+        (before, 1 + self.alive().count())
+    }
+
     /// How things stand.
     pub fn standing(&self) -> &Standing {
         &self.standing
--- /dev/null
+++ b/src/cli/fleet.rs
@@ -0,0 +1,95 @@
+//! `postproxy fleet`: asks a running node what it knows of the others.
+
+use super::Failure;
+use clap::{Args, Subcommand};
+use postproxy::net::peers::fleet::Picture;
+use postproxy::standin::ask;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What `fleet` does.
+#[derive(Debug, Subcommand)]
+pub enum Action {
+    /// Who is there, who has failed or left, and how things stand, as one node sees it
+    Members(Members),
+}
+
+/// Which node, and how it is told.
+#[derive(Args, Debug)]
+pub struct Members {
+    /// Where the node's operators call
+    #[arg(long, value_name = "ADDR")]
+    mgmt: SocketAddr,
+    /// As the node tells it, in JSON
+    #[arg(long)]
+    json: bool,
+    /// Again every second, until this program is ended
+    #[arg(long)]
+    watch: bool,
+}
+
+/// Does it.
+///
+/// # Errors
+///
+/// If the node can't be asked, or knows no others.
+pub fn run(action: Action) -> Result<(), Failure> {
+    let Action::Members(args) = action;
+    loop {
+        let text = picture(args.mgmt)?;
+        if args.json {
+            println!("{}", text.trim_end());
+        } else {
+            print!("{}", table(&serde_json::from_str(&text)?));
+        }
+        if !args.watch {
+            return Ok(());
+        }
+        println!();
+        std::thread::sleep(Duration::from_secs(1));
+    }
+}
+
+fn picture(mgmt: SocketAddr) -> Result<String, Failure> {
+    let answer =
+        ask(mgmt, "GET", "/v1/fleet/members", &[], b"").map_err(|error| format!("{mgmt}: {error}"))?;
+    let text = String::from_utf8(answer.body)?;
+    if answer.status == 200 { Ok(text) } else { Err(format!("{mgmt}: {}", text.trim_end()).into()) }
+}
+
+/// What one node sees, for people.
+pub fn table(picture: &Picture) -> String {
+    let mut out = String::new();
+    let mut line = |text: String| {
+        // Writing to a string fails at nothing.
+        let _ = writeln!(out, "{text}");
+    };
+    line(format!("{} of {}: {}", picture.node, picture.cluster, picture.standing));
+    picture.reasons.iter().for_each(|reason| line(format!("  {reason}")));
+    match picture.namesake {
+        Some(at) => line(format!("  no member: the process at {at} has this name, too")),
+        None if !picture.member => line("  no member yet".to_owned()),
+        None => {}
+    }
+    line(format!("{:<20} {:<8} {:<6} {:<22} incarnation", "node", "state", "votes", "address"));
+    for node in &picture.members {
+        let votes = if node.voter { "yes" } else { "" };
+        let address = node.address.to_string();
+        line(format!("{:<20} {:<8} {votes:<6} {address:<22} {}", node.name, node.state, node.incarnation));
+    }
+    if !picture.unheard.is_empty() {
+        line(format!("not heard directly: {}", picture.unheard.join(", ")));
+    }
+    if !picture.bans.is_empty() {
+        line(format!("out of use for the fleet: {}", picture.bans.join(", ")));
+    }
+    if picture.missed_s > 0.0 {
+        line(format!("this process missed {:.1} s; {:.1} of 8 from well", picture.missed_s, picture.ill));
+    }
+    if !picture.dropped.is_empty() {
+        let by: Vec<String> = picture.dropped.iter().map(|(why, n)| format!("{why} {n}")).collect();
+        line(format!("datagrams dropped: {}", by.join(", ")));
+    }
+    out
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod fleet;
 mod serve;
 mod store;
 mod trial;
@@ -35,6 +36,9 @@
     /// Look at a store's files, with its node stopped
     #[command(subcommand)]
     Store(store::Action),
+    /// Ask a running node about the other nodes
+    #[command(subcommand)]
+    Fleet(fleet::Action),
     /// Try it all in one process: discovery, four workers, a node, and jobs of two classes
     Try(trial::Trial),
     /// Print a script that completes this program's words in a shell
@@ -86,6 +90,7 @@
         Some(Command::Serve(serve)) => serve::run(serve),
         Some(Command::Check { file, config }) => check(&file, config.as_deref()),
         Some(Command::Store(action)) => store::run(action),
+        Some(Command::Fleet(action)) => fleet::run(action),
         Some(Command::Try(trial)) => trial::run(&trial),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Cli::command(), "postproxy", &mut std::io::stdout());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -412,6 +412,8 @@
         /// It is to be used again.
         again: bool,
     },
+    /// So many dispatchers may send to the workers, in place of what the settings say.
+    Balancers(u32),
     /// News of another process of this node, which takes over or is taken over.
     Elsewhere(Elsewhere),
     /// A request of another process of this node goes on here.
--- a/src/net/back/farm.rs
+++ b/src/net/back/farm.rs
@@ -321,6 +321,13 @@
         self.ask(reactor, WAIT);
     }
 
+    /// This node's place among the nodes that it knows, and their number.
+    pub fn place(&mut self, (at, of): (usize, usize)) {
+        if let Some(hunger) = &mut self.hunger {
+            hunger.place(at, of);
+        }
+    }
+
     fn failed(&mut self, reactor: &mut Reactor) {
         self.hang_up(reactor);
         if std::mem::take(&mut self.calling) {
--- a/src/net/hub/transaction.rs
+++ b/src/net/hub/transaction.rs
@@ -293,6 +293,10 @@
                 self.number(&name);
                 self.employ(now, &name, again, out);
             }
+            Input::Nodes(count) => {
+                let known = u32::try_from(count).ok().filter(|count| *count > 0);
+                self.events.push_back(Event::Balancers(known.unwrap_or(self.settings.balancers)));
+            }
             Input::Tale(link, tale) => self.heard(now, link, tale, out),
             Input::Moved(link, agent, job) => {
                 if self.carry_on(now, link, agent, &job, out).is_none() {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -477,6 +477,10 @@
                 fleet::Event::Ban(worker, again) => {
                     self.reactor.queue.push_back(Input::Banned(worker, again));
                 }
+                fleet::Event::Nodes(count, place) => {
+                    self.reactor.queue.push_back(Input::Nodes(count));
+                    self.farm.place(place);
+                }
                 fleet::Event::Held(key, at, of) => {
                     if let Some(door) = &mut self.door {
                         door.answer(&mut self.reactor, key, Reply::Held(at, of));
--- a/src/net/peers/fleet.rs
+++ b/src/net/peers/fleet.rs
@@ -24,6 +24,8 @@
 pub enum Event {
     /// A worker is out of use for the fleet, or back in it.
     Ban(String, bool),
+    /// So many nodes may be there, 0 where no other is known; and this one's place among those heard, and their number.
+    Nodes(usize, (usize, usize)),
     /// A caller at the door is to be told that its ban holds at so many of so many nodes.
     Held(usize, usize, usize),
 }
@@ -92,6 +94,8 @@
     look: (u64, f64),
     /// Callers at the door by their ticket, and when they are answered at the latest.
     callers: HashMap<u64, (usize, f64)>,
+    /// What the node was told last of how many there are, and of its place.
+    told: (usize, (usize, usize)),
     /// The digest of the bans that are kept.
     kept: u64,
     /// Datagrams dropped when they were logged last, and when that was.
@@ -118,7 +122,18 @@
         let (place, callers) = (None, HashMap::new());
         let (look, logged) = ((0, f64::INFINITY), (0, reactor.now));
         let name = name.to_owned();
-        let mut fleet = Self { section, name, place, over: false, restored, look, callers, kept: 0, logged };
+        let mut fleet = Self {
+            section,
+            name,
+            place,
+            over: false,
+            restored,
+            look,
+            callers,
+            told: (0, (0, 1)),
+            kept: 0,
+            logged,
+        };
         match fleet.take_place(reactor) {
             Ok(()) => {}
             Err(error) if shared && error.kind() == ErrorKind::AddrInUse => {
@@ -308,6 +323,13 @@
                 Out::News(news) => log(&news),
             }
         }
+        if let Some(place) = &self.place {
+            let count = place.members.count();
+            let told = (if count > 1 { count } else { 0 }, place.members.place());
+            if std::mem::replace(&mut self.told, told) != told {
+                events.push(Event::Nodes(told.0, told.1));
+            }
+        }
         self.log_drops(reactor.now);
         self.plan(reactor);
         events
--- a/src/net/words.rs
+++ b/src/net/words.rs
@@ -137,6 +137,8 @@
     Use(usize, String, bool),
     /// The fleet's word on the use of the worker of this name.
     Banned(String, bool),
+    /// So many nodes may send to the workers, as far as this one knows; 0 where it knows no others.
+    Nodes(usize),
     /// News of another process of this node, by its link.
     Tale(usize, Tale),
     /// A link is over: what its process held is gone.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -93,6 +93,7 @@
             },
             Event::Probed { worker, outcome, report, .. } => self.probed(*worker, *outcome, report),
             Event::Use { worker, again } => self.employ(*worker, *again),
+            Event::Balancers(count) => self.set.balancers = *count,
             Event::Elsewhere(news) => self.known.elsewhere(news),
             Event::Carried { request, carried } => self.carry_on(*request, carried),
             Event::Peer => {}
--- a/tests/bans.rs
+++ b/tests/bans.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use postproxy::{Action, Event, Health, ListKind, Outcome, WorkerId};
+use postproxy::{Action, Dispatcher, Event, Health, ListKind, Outcome, WorkerId};
 use rand_core::{RngCore, SeedableRng};
 use std::collections::BTreeSet;
 
@@ -157,3 +157,35 @@
         assert!(first.is_some(), "seed {seed}: the only dispatcher owes it a job within 3 s");
     }
 }
+
+/// Guards against a share of what a worker back in use is owed that goes by the settings' guess where more is known:
+/// each of four dispatchers owes it a job with one chance in four, a single one always, one of a thousand hardly ever.
+#[test]
+fn how_many_owe_a_worker_back_in_use_goes_by_how_many_are_known() {
+    // How many of 40 dispatchers send there in the time in which what is owed is given.
+    let owing = |count: Option<u32>| {
+        let owes = |seed: u64| {
+            let mut bed = Bed::new(settings(|_| {}), 6);
+            bed.dispatcher = Dispatcher::new(settings(|_| {}), seed).expect("sound settings");
+            bed.list(ListKind::Full, (0..6).map(entry).collect());
+            if let Some(count) = count {
+                bed.event(Event::Balancers(count));
+            }
+            employ(&mut bed, 0, false);
+            employ(&mut bed, 0, true);
+            (0..12u16).any(|n| {
+                bed.now += 0.3;
+                let actions = bed.request(u64::from(n) + 1, 0);
+                let to = sends(&actions);
+                for to in &to {
+                    bed.outcome(u64::from(n) + 1, 0, *to, Outcome::Ok);
+                }
+                to.contains(&worker(0))
+            })
+        };
+        (0..40).filter(|seed| owes(*seed)).count()
+    };
+    let (one, four, many) = (owing(Some(1)), owing(Some(4)), owing(Some(1000)));
+    assert_eq!(owing(None), four, "the settings say four");
+    assert!(one == 40 && one > four && four > many, "{one} {four} {many}");
+}
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -120,6 +120,16 @@
         serde_json::from_slice(&answer.body).ok()
     }
 
+    /// What `postproxy fleet members` prints of a node.
+    fn told_by_command(&self, n: usize) -> String {
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_postproxy"))
+            .args(["fleet", "members", "--mgmt", &self.nodes[n].door.to_string()])
+            .output()
+            .expect("it runs");
+        assert!(output.status.success(), "{output:?}");
+        String::from_utf8(output.stdout).expect("text")
+    }
+
     fn living(&self) -> Vec<usize> {
         (0..self.nodes.len()).filter(|n| self.nodes[*n].process.is_some()).collect()
     }
@@ -195,6 +205,8 @@
         p.standing == "cut off with a majority"
             && p.members.iter().any(|m| m.name == "n2" && m.state == "failed")
     });
+    let table = fleet.told_by_command(0);
+    assert!(table.contains("cut off with a majority") && table.contains("n2 is not reached"), "{table}");
     fleet.start(2);
     fleet.whole();
     fleet.process(2).end();
