Test a replacement of the process and a move to another address among three nodes

Need: two processes of one node must be one member while one takes over; shown by no test of processes.

Change: tests with an inherited listener (a ban at the newer process's door reaches the fleet by way of the older one, nobody is called failed or left, the incarnation grows) and with a node that comes back elsewhere.

--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -3,7 +3,9 @@
 use postproxy::net::peers::fleet::Picture;
 use postproxy::standin::{Discovery, Worker, ask};
 use postproxy_faults::{History, Link, Net, Process, addresses, wait};
+use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -17,6 +19,8 @@
     client: SocketAddr,
     door: SocketAddr,
     folder: PathBuf,
+    /// The clients' listener, where it outlives the process.
+    listener: Option<Socket>,
 }
 
 /// Nodes with one discovery and three workers; what the nodes say to each other goes through relays.
@@ -71,7 +75,7 @@
                 operator["store"] = serde_json::json!({"folder": mine.join("store").display().to_string()});
             }
             std::fs::write(mine.join("operator.json"), operator.to_string()).expect("it is written");
-            Node { name, process: None, client, door, folder: mine }
+            Node { name, process: None, client, door, folder: mine, listener: None }
         });
         let nodes = nodes.collect();
         let mut fleet = Self { nodes, net, history: History::default(), folder, _workers: workers, stored };
@@ -85,10 +89,15 @@
         self.history.note(format!("start {}", node.name));
         let (config, operator) = (node.folder.join("config.json"), node.folder.join("operator.json"));
         let (config, operator) = (config.display().to_string(), operator.display().to_string());
+        let (folder, door) = (node.folder.display().to_string(), node.door.to_string());
+        let descriptor = node.listener.as_ref().map(|listener| listener.as_raw_fd().to_string());
+        let mut environment =
+            vec![("RELAY_CONFIG", config.as_str()), ("TMPDIR", &folder), ("RELAY_MGMT", &door)];
+        environment.extend(descriptor.as_ref().map(|number| ("RELAY_SOCKET_FD", number.as_str())));
         let process = Process::start(
             env!("CARGO_BIN_EXE_postproxy").as_ref(),
             &["serve", "--operator", &operator],
-            &[("RELAY_CONFIG", &config)],
+            &environment,
             &node.folder.join("log"),
         );
         node.process = Some(process.expect("the program starts"));
@@ -342,7 +351,7 @@
     change("config.json", &[("", "listen", client.to_string()), ("", "mgmt", door.to_string())]);
     let at = SocketAddr::new(own, 7946).to_string();
     change("operator.json", &[("fleet", "listen", at.clone()), ("fleet", "advertise", at)]);
-    fleet.nodes.push(Node { name: "n2".into(), process: None, client, door, folder });
+    fleet.nodes.push(Node { name: "n2".into(), process: None, client, door, folder, listener: None });
     fleet.start(3);
     let apart = |n: usize| fleet.picture(n).is_some_and(|p| p.namesake.is_some() && !p.member);
     assert!(wait(MOST, || apart(2) != apart(3)), "one of them is apart: {}", fleet.told());
@@ -383,3 +392,57 @@
     fleet.whole();
     assert!(fleet.lines(0, "datagrams were dropped") <= 2, "one line a minute: {}", fleet.told());
 }
+
+/// Guards against two processes of one node that are two members while one takes over, or none, and against a ban that is
+/// told to the one without a place among the nodes and goes no further.
+#[test]
+fn a_replacement_is_no_change_of_members() {
+    let mut fleet = Fleet::new(3, 9, false);
+    fleet.kill(1);
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    listener.set_reuse_address(true).expect("a setting");
+    listener.bind(&fleet.nodes[1].client.into()).expect("its address");
+    listener.listen(64).expect("it listens");
+    listener.set_cloexec(false).expect("it is inherited");
+    fleet.nodes[1].listener = Some(listener);
+    fleet.start(1);
+    fleet.whole();
+    let before = [0, 2].map(|n| (fleet.lines(n, "a node has failed"), fleet.lines(n, "a node has left")));
+    let first = fleet.picture(1).expect("a picture").members[0].incarnation;
+    let old_door = fleet.nodes[1].door;
+    let mut old = fleet.nodes[1].process.take().expect("it was started");
+    // The second one has a door of its own; its place is still the first one's.
+    fleet.nodes[1].door = SocketAddr::new(old_door.ip(), 8082);
+    fleet.start(1);
+    assert!(fleet.picture(1).is_none(), "one member, not two");
+    assert_eq!(fleet.suspend(1, "w-1", false), "yes\n");
+    fleet.until("told by the one that has the place", &[0, 2], |_, p| p.bans == ["w-1"]);
+    old.end();
+    assert!(wait(MOST, || old.ended() == Some(true)), "the first one ends");
+    fleet.whole();
+    fleet.bans("known to the second, too", &["w-1"]);
+    assert!(fleet.picture(1).expect("a picture").members[0].incarnation > first);
+    let after = [0, 2].map(|n| (fleet.lines(n, "a node has failed"), fleet.lines(n, "a node has left")));
+    assert_eq!(before, after, "nobody failed or left: {}", fleet.told());
+    assert_eq!(fleet.suspend(1, "w-1", true), "yes, at 3 of 3 nodes\n");
+    fleet.bans("none is out", &[]);
+}
+
+/// Guards against a node that is taken for its earlier life, or for another's, when it is back at another address.
+#[test]
+fn a_restart_at_another_address_is_the_same_node() {
+    let mut fleet = Fleet::new(3, 10, false);
+    fleet.kill(2);
+    let at = SocketAddr::new(addresses(1)[0], 7946).to_string();
+    let file = fleet.nodes[2].folder.join("operator.json");
+    let text = std::fs::read_to_string(&file).expect("text");
+    let mut json: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    json["fleet"]["listen"] = at.clone().into();
+    json["fleet"]["advertise"] = at.clone().into();
+    std::fs::write(&file, json.to_string()).expect("it is written");
+    fleet.start(2);
+    fleet.whole();
+    fleet.until("at its new address", &[0, 1], |_, p| {
+        p.members.iter().any(|m| m.name == "n2" && m.address.to_string() == at)
+    });
+}
