--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod fleet;
+mod fleet_trial;
 mod serve;
 mod store;
 mod trial;
--- a/src/cli/trial.rs
+++ b/src/cli/trial.rs
@@ -1,7 +1,7 @@
 //! `postproxy try`: discovery, workers and a node in one process on free ports of loopback, and jobs of two
 //! classes sent through them.
 
-use super::Failure;
+use super::{Failure, fleet_trial};
 use clap::Args;
 use hdrhistogram::Histogram;
 use postproxy::net::{Config, Node};
@@ -23,6 +23,9 @@
     /// How many clients at once
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=256))]
     clients: u32,
+    /// So many nodes, as processes that know each other: some are killed and stopped while jobs run
+    #[arg(long, value_name = "NODES", value_parser = clap::value_parser!(u8).range(3..=9))]
+    fleet: Option<u8>,
 }
 
 const CLASSES: [&str; 2] = ["reroute", "day-plan"];
@@ -64,6 +67,9 @@
 /// If there are no ports, or the node can't be started; if a job was neither served nor refused, or was run
 /// twice.
 pub fn run(trial: &Trial) -> Result<(), Failure> {
+    if let Some(nodes) = trial.fleet {
+        return fleet_trial::run(usize::from(nodes));
+    }
     let workers: Result<Vec<Worker>, _> = (0..)
         .zip(WORKERS)
         .map(|(n, ms)| Worker::start(&format!("s-{n}"), Duration::from_millis(ms)))
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -133,7 +133,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     work: Arc<Mutex<Work>>,
-    node: Arc<Mutex<Option<SocketAddr>>>,
+    nodes: Arc<Mutex<Vec<SocketAddr>>>,
     held: Arc<AtomicU64>,
     stopped: Arc<AtomicBool>,
 }
@@ -150,7 +150,7 @@
             name: name.to_owned(),
             address: listener.local_addr()?,
             work: Arc::default(),
-            node: Arc::default(),
+            nodes: Arc::default(),
             held: Arc::default(),
             stopped: Arc::default(),
         };
@@ -161,7 +161,12 @@
 
     /// Where it reports to.
     pub fn reports_to(&self, node: SocketAddr) {
-        *lock(&self.node) = Some(node);
+        *lock(&self.nodes) = vec![node];
+    }
+
+    /// Where it reports to, where several nodes send: it tells all, and those acknowledge what is not theirs.
+    pub fn reports_to_all(&self, nodes: &[SocketAddr]) {
+        *lock(&self.nodes) = nodes.to_vec();
     }
 
     /// How often each job was run, by its idempotency key or else its id.
@@ -206,12 +211,26 @@
         let held = self.held().saturating_sub(1);
         let event = serde_json::json!({"id": id, "from": self.name, "state": "done", "result": result,
                                        "load": {"queue": held, "eps": 0.0, "x0": 4}});
-        let (event, mut again) = (event.to_string(), AGAIN);
+        let event = event.to_string();
+        let nodes = lock(&self.nodes).clone();
+        let (first, others) =
+            nodes.split_first().map_or((None, &[][..]), |(first, rest)| (Some(*first), rest));
+        for node in others.iter().copied() {
+            let (own, event, job, result) = (self.clone(), event.clone(), job.to_owned(), result.to_owned());
+            thread::spawn(move || own.tell(Some(node), &event, &job, &result));
+        }
+        self.tell(first, &event, job, result);
+    }
+
+    /// Tells one node until it acknowledges.
+    fn tell(&self, mut node: Option<SocketAddr>, event: &str, job: &str, result: &str) {
+        let mut again = AGAIN;
         for _ in 0..CALLS {
             if self.stopped.load(Ordering::SeqCst) {
                 return;
             }
-            let node = *lock(&self.node);
+            // One that was not known at the first try may be by now.
+            node = node.or_else(|| lock(&self.nodes).first().copied());
             let answer = node.map(|node| {
                 ask(node, "POST", "/v1/job-events", &[("Connection", "close")], event.as_bytes())
             });
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -446,3 +446,18 @@
         p.members.iter().any(|m| m.name == "n2" && m.address.to_string() == at)
     });
 }
+
+/// Guards against a trial that shows nothing, or that ends well where a step does not come to what it should.
+#[test]
+fn try_with_a_fleet_shows_each_step() {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_postproxy"))
+        .args(["try", "--fleet", "3"])
+        .output()
+        .expect("it runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+    for step in ["yes, at 3 of 3 nodes", "cut off with a majority", "gave it up", "node-2 has left", "served"]
+    {
+        assert!(text.contains(step), "{step}: {text}");
+    }
+}
