Take out bans by gossip, which never went: they go direct and by digests; one loop for seeds

Seen on reading the change again: an own ban is merged before it is handed to the library, which passes on only what is new, so that Word::Ban was never sent by anybody; bans have spread by the direct word and by digests all along, as the tests show. A comment said otherwise. At fault: Members::say and Told::take.

Change: that dead way is gone; the seeds are asked in one place; the door takes workers out of use from the machine instead of working them out again; how many nodes there are is counted when there is news, not with every datagram; how things stand is seen anew after a complaint's end only. A field of a test that could not fail is gone.

--- a/crates/members/src/bans.rs
+++ b/crates/members/src/bans.rs
@@ -64,21 +64,19 @@
             .collect()
     }
 
-    /// Takes in what another knows; whether the worker's use has changed by it, and whether anything was new.
-    pub fn merge(&mut self, worker: &str, mark: Mark) -> (bool, bool) {
+    /// Takes in what another knows; whether the worker's use has changed by it.
+    pub fn merge(&mut self, worker: &str, mark: Mark) -> bool {
         if worker.is_empty()
             || worker.len() > MOST_WORKER
             || mark.undone > mark.given
             || !self.room(worker, mark.life)
         {
-            return (false, false);
+            return false;
         }
         let before = self.holds(worker);
         let known = self.marks.entry(worker.to_owned()).or_default().entry(mark.life).or_default();
-        let merged = (known.0.max(mark.given), known.1.max(mark.undone));
-        let new = merged != *known;
-        *known = merged;
-        (self.holds(worker) != before, new)
+        *known = (known.0.max(mark.given), known.1.max(mark.undone));
+        self.holds(worker) != before
     }
 
     /// All that is known, worker by worker.
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -155,15 +155,12 @@
     Deaf(String, u64, u32, Vec<String>),
     /// A life of a node has left.
     Left(String, u64),
-    /// On a worker out of use.
-    Ban(String, Mark),
 }
 
 #[derive(Clone, Debug, PartialEq)]
 enum Key {
     Deaf(String),
     Left(String, u64),
-    Ban(String, u64),
 }
 
 impl foca::Invalidates for Key {
@@ -218,20 +215,14 @@
                 self.fresh |= new;
                 new.then_some(Key::Left(name, life))
             }
-            Word::Ban(worker, mark) => {
-                let new = self.ban(&worker, mark);
-                new.then_some(Key::Ban(worker, mark.life))
-            }
         }
     }
 
-    /// Takes in a mark; whether it is new.
-    fn ban(&mut self, worker: &str, mark: Mark) -> bool {
-        let (changed, new) = self.bans.merge(worker, mark);
-        if changed {
+    /// Takes in a mark.
+    fn ban(&mut self, worker: &str, mark: Mark) {
+        if self.bans.merge(worker, mark) {
             self.changed.push(worker.to_owned());
         }
-        new
     }
 }
 
@@ -438,9 +429,6 @@
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let tells: Vec<(String, Mark)> = marks.iter().map(|mark| (worker.to_owned(), *mark)).collect();
-        for mark in marks {
-            self.say(&Word::Ban(worker.to_owned(), mark));
-        }
         let peers: Vec<Identity> = self.alive().cloned().collect();
         for part in parts(&tells) {
             for peer in &peers {
@@ -477,6 +465,11 @@
         self.told.borrow().bans.marks().map(|(worker, mark)| (worker.to_owned(), mark)).collect()
     }
 
+    /// Workers out of use, by name.
+    pub fn out_of_use(&self) -> Vec<String> {
+        self.told.borrow().bans.all().map(str::to_owned).collect()
+    }
+
     /// The same for the same bans.
     pub fn digest(&self) -> u64 {
         self.told.borrow().bans.digest()
@@ -566,11 +559,6 @@
     /// Has a word passed on from node to node.
     fn say(&mut self, word: &Word) {
         if let Ok(bytes) = postcard::to_stdvec(word) {
-            // One's own words on bans are known already, and passed on all the same.
-            if let Word::Ban(worker, mark) = word {
-                let told = &mut self.told.borrow_mut().bans;
-                debug_assert!(told.marks().any(|(w, m)| w == worker && m == *mark));
-            }
             let _ = self.foca.add_broadcast(&bytes);
         }
     }
@@ -591,11 +579,12 @@
                 if self.hearing.deaf().next().is_some() {
                     self.complain();
                 }
-                let mut told = self.told.borrow_mut();
+                let (mut told, mut expired) = (self.told.borrow_mut(), false);
                 for complaint in told.deaf.values_mut().filter(|c| own - c.at > COMPLAINT) {
+                    expired |= !complaint.deaf.is_empty();
                     complaint.deaf.clear();
                 }
-                told.fresh = true;
+                told.fresh |= expired;
                 drop(told);
                 self.timer(own + SAY_AGAIN, Due::SayAgain);
             }
@@ -648,15 +637,17 @@
         };
         let lonely = self.stage != Stage::In || self.alive().next().is_none();
         if lonely && !matches!(self.stage, Stage::Apart(..)) {
-            for seed in self.settings.seeds.clone() {
-                if seed != self.me.address {
-                    self.send(seed, &Message::Ask, out);
-                }
-            }
+            self.ask_seeds(out);
         }
         self.timer(own + again, Due::Ask);
     }
 
+    fn ask_seeds(&self, out: &mut Vec<Out>) {
+        for seed in self.settings.seeds.iter().filter(|seed| **seed != self.me.address) {
+            self.send(*seed, &Message::Ask, out);
+        }
+    }
+
     /// Becomes a member, above the incarnation that is told.
     fn enter(&mut self, own: f64, above: Option<u64>, out: &mut Vec<Out>) {
         let incarnation = above.map_or(self.me.incarnation, |above| self.me.incarnation.max(above + 1));
@@ -670,11 +661,7 @@
         for peer in known.into_iter().take(TOLD_LEAVING) {
             let _ = self.foca.announce(peer, &mut self.runtime);
         }
-        for seed in self.settings.seeds.clone() {
-            if seed != self.me.address {
-                self.send(seed, &Message::Ask, out);
-            }
-        }
+        self.ask_seeds(out);
         self.say_hello(own, out);
         self.timers.retain(|_, due| !matches!(due, Due::Fill(..)));
         self.timer(own + FILL, Due::Fill(FILLS, 0));
--- a/src/net/peers/fleet.rs
+++ b/src/net/peers/fleet.rs
@@ -284,8 +284,6 @@
             Life::Left => "left",
         };
         let others = members.others().map(|(id, life)| shown((id, word(life))));
-        let out = |mark: &(String, Mark)| (mark.1.given > mark.1.undone).then(|| mark.0.clone());
-        let bans: std::collections::BTreeSet<String> = members.bans().iter().filter_map(out).collect();
         let (ill, missed_s) = members.health();
         Some(Picture {
             cluster: self.section.cluster.clone(),
@@ -298,14 +296,14 @@
             unheard: members.deaf().cloned().collect(),
             ill,
             missed_s,
-            bans: bans.into_iter().collect(),
+            bans: members.out_of_use(),
             dropped: members.dropped().iter().map(|(flaw, n)| (flaw.word().to_owned(), *n)).collect(),
         })
     }
 
     /// Sends what is to be sent, logs what is new, and gives what the node is to know.
     fn carry(&mut self, reactor: &mut Reactor, out: Vec<Out>) -> Vec<Event> {
-        let mut events = Vec::new();
+        let (mut events, mut changed) = (Vec::new(), false);
         for out in out {
             match out {
                 Out::Send(to, bytes) => {
@@ -320,10 +318,14 @@
                         events.push(Event::Held(caller, at, of));
                     }
                 }
-                Out::News(news) => log(&news),
+                Out::News(news) => {
+                    log(&news);
+                    changed = true;
+                }
             }
         }
-        if let Some(place) = &self.place {
+        // Who is there changes with news alone.
+        if let Some(place) = self.place.as_ref().filter(|_| changed) {
             let count = place.members.count();
             let told = (if count > 1 { count } else { 0 }, place.members.place());
             if std::mem::replace(&mut self.told, told) != told {
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -30,7 +30,6 @@
     history: History,
     folder: PathBuf,
     _workers: Vec<Worker>,
-    stored: bool,
     /// Words on workers that a node has said yes to: the worker, and whether it is to be used again.
     words: Vec<(usize, bool)>,
 }
@@ -80,15 +79,8 @@
             Node { name, process: None, client, door, folder: mine, listener: None }
         });
         let nodes = nodes.collect();
-        let mut fleet = Self {
-            nodes,
-            net,
-            history: History::default(),
-            folder,
-            _workers: workers,
-            stored,
-            words: Vec::new(),
-        };
+        let mut fleet =
+            Self { nodes, net, history: History::default(), folder, _workers: workers, words: Vec::new() };
         (0..count).for_each(|n| fleet.start(n));
         fleet.whole();
         fleet
@@ -310,7 +302,6 @@
 #[test]
 fn bans_hold_for_the_fleet_over_cuts_and_restarts() {
     let mut fleet = Fleet::new(3, 6, true);
-    assert!(fleet.stored);
     assert_eq!(fleet.suspend(0, "w-0", false), "yes, at 3 of 3 nodes\n");
     fleet.bans("w-0 is out", &["w-0"]);
     fleet.net.part(&[0], &[1, 2]);
