--- a/crates/faults/src/net.rs
+++ b/crates/faults/src/net.rs
@@ -1,20 +1,20 @@
 //! The network between nodes: each has a relay that the others take for it, and that knows by the sender's address which
-//! link a datagram is on. Faults come from a seed.
+//! link a datagram or a connection is on. Faults come from a seed.
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashMap;
-use std::io;
-use std::net::{IpAddr, SocketAddr, UdpSocket};
+use std::io::{self, Read, Write};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// What becomes of datagrams in one direction.
+/// What becomes of datagrams, and of a connection's bytes, in one direction.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Link {
-    /// All are lost.
+    /// All are lost; a connection's bytes, and its end, wait until that is over.
     pub cut: bool,
     /// Share lost, of the others.
     pub loss: f64,
@@ -22,6 +22,10 @@
     pub twice: f64,
     /// Each is late by up to so much, and so out of order.
     pub late: Duration,
+    /// Share of a connection's pieces in whose middle it is torn down, on both sides.
+    pub torn: f64,
+    /// So many bytes a second of a connection at most; 0 for no limit.
+    pub slow: u32,
 }
 
 /// An address of the loopback network for each of so many, which no other test process uses.
@@ -32,6 +36,19 @@
     (0..count).map(own).collect()
 }
 
+/// A socket for datagrams and a listener for connections at one port.
+fn sockets(at: IpAddr) -> io::Result<(UdpSocket, TcpListener)> {
+    let mut left = 32;
+    loop {
+        let socket = UdpSocket::bind((at, 0))?;
+        left -= 1;
+        match TcpListener::bind(socket.local_addr()?) {
+            Err(_) if left > 0 => {}
+            listener => return Ok((socket, listener?)),
+        }
+    }
+}
+
 type Links = Arc<Mutex<HashMap<(usize, usize), Link>>>;
 
 /// The network between so many nodes.
@@ -56,8 +73,18 @@
         let at = addresses(nodes.len() as u8);
         let mut relays = Vec::new();
         for (to, (node, at)) in nodes.iter().zip(at).enumerate() {
-            let socket = UdpSocket::bind((at, 0))?;
+            let (socket, listener) = sockets(at)?;
             socket.set_read_timeout(Some(Duration::from_millis(2)))?;
+            let connections = Connections {
+                listener,
+                to,
+                node: *node,
+                from: from.clone(),
+                links: links.clone(),
+                seed: seed ^ to as u64,
+                over: over.clone(),
+            };
+            thread::spawn(move || connections.run());
             relays.push(socket.local_addr()?);
             let relay = Relay {
                 socket,
@@ -160,3 +187,114 @@
         }
     }
 }
+
+/// Relays connections to one node.
+struct Connections {
+    listener: TcpListener,
+    to: usize,
+    node: SocketAddr,
+    from: HashMap<IpAddr, usize>,
+    links: Links,
+    seed: u64,
+    over: Arc<AtomicBool>,
+}
+
+/// How often a held connection is looked at.
+const LOOK: Duration = Duration::from_millis(5);
+
+impl Connections {
+    fn run(self) {
+        if self.listener.set_nonblocking(true).is_err() {
+            return;
+        }
+        let mut number = 0;
+        while !self.over.load(Ordering::SeqCst) {
+            let Ok((near, from)) = self.listener.accept() else {
+                thread::sleep(LOOK);
+                continue;
+            };
+            number += 1;
+            let from = self.from.get(&from.ip()).copied();
+            let way = |there: bool| Way {
+                links: self.links.clone(),
+                way: from.map(|from| if there { (from, self.to) } else { (self.to, from) }),
+                draws: Pcg64Mcg::seed_from_u64(self.seed ^ number << 8 ^ u64::from(there)),
+                over: self.over.clone(),
+            };
+            let (there, back, node) = (way(true), way(false), self.node);
+            thread::spawn(move || {
+                // A connection that is being made over a link that is cut is made when it is whole again.
+                there.held();
+                back.held();
+                let Ok(far) = TcpStream::connect(node) else { return };
+                let _ = near.set_nonblocking(false);
+                let (Ok(near_too), Ok(far_too)) = (near.try_clone(), far.try_clone()) else { return };
+                thread::spawn(move || there.carry(near, far));
+                back.carry(far_too, near_too);
+            });
+        }
+    }
+}
+
+/// One direction of a connection.
+struct Way {
+    links: Links,
+    way: Option<(usize, usize)>,
+    draws: Pcg64Mcg,
+    over: Arc<AtomicBool>,
+}
+
+impl Way {
+    fn link(&self) -> Link {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        self.way.and_then(|way| links.get(&way).copied()).unwrap_or_default()
+    }
+
+    /// Waits while the link is cut.
+    fn held(&self) {
+        while self.link().cut && !self.over.load(Ordering::SeqCst) {
+            thread::sleep(LOOK);
+        }
+    }
+
+    fn uniform(&mut self) -> f64 {
+        (self.draws.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn carry(mut self, mut from: TcpStream, mut to: TcpStream) {
+        let _ = from.set_read_timeout(Some(LOOK));
+        let mut bytes = [0; 4096];
+        while !self.over.load(Ordering::SeqCst) {
+            let size = match from.read(&mut bytes) {
+                Ok(size) => size,
+                Err(error)
+                    if [io::ErrorKind::WouldBlock, io::ErrorKind::TimedOut].contains(&error.kind()) =>
+                {
+                    continue;
+                }
+                Err(_) => 0,
+            };
+            self.held();
+            let link = self.link();
+            if size == 0 {
+                let _ = to.shutdown(Shutdown::Write);
+                return;
+            }
+            if link.slow > 0 {
+                thread::sleep(Duration::from_secs_f64(size as f64 / f64::from(link.slow)));
+            }
+            let way = link.late.mul_f64(self.uniform());
+            thread::sleep(way);
+            if self.uniform() < link.torn {
+                let part = (self.uniform() * size as f64) as usize;
+                let _ = to.write_all(&bytes[..part]);
+                let _ = (to.shutdown(Shutdown::Both), from.shutdown(Shutdown::Both));
+                return;
+            }
+            if to.write_all(&bytes[..size]).is_err() {
+                let _ = from.shutdown(Shutdown::Both);
+                return;
+            }
+        }
+    }
+}
--- a/crates/members/src/bans.rs
+++ b/crates/members/src/bans.rs
@@ -35,6 +35,11 @@
         self.marks.get(worker).is_some_and(|lives| lives.values().any(|(given, undone)| given > undone))
     }
 
+    /// Whether anything was ever said of a worker.
+    pub fn knows(&self, worker: &str) -> bool {
+        self.marks.contains_key(worker)
+    }
+
     /// All that are out of use.
     pub fn all(&self) -> impl Iterator<Item = &str> {
         self.marks.keys().map(String::as_str).filter(|worker| self.holds(worker))
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -18,6 +18,6 @@
 
 pub use bans::{Bans, Mark};
 pub use identity::{Identity, MOST_NAME};
-pub use members::{Life, Members, News, Out, Settings};
+pub use members::{Life, Members, News, Out, Refused, Settings};
 pub use standing::Standing;
 pub use time::OwnTime;
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -1,6 +1,6 @@
 //! The machine: told datagrams and the time, it says what to send, what is new, and when to be called again.
 
-use crate::bans::{Bans, Mark};
+use crate::bans::{Bans, Fnv, Mark};
 use crate::hearing::{self, Hearing, MOST_COMPLAINTS};
 use crate::identity::Identity;
 use crate::packet::{self, Flaw, MOST_INSIDE, Message};
@@ -85,6 +85,12 @@
 /// So many suspects are told so at a time, again and again: news of it that reach them while they are stopped are lost,
 /// and are not passed on for as long as a suspicion lasts.
 const WARNED: usize = 8;
+/// What goes over a stream, in one word.
+const MOST_TOLD: usize = 64 << 10;
+/// All is told to a node over a stream so often at most, in seconds.
+const TELL_AGAIN: f64 = 1.0;
+/// So many nodes that will not come back are remembered at most.
+const MOST_GONE: usize = 1024;
 /// So many are told directly that this node leaves.
 const TOLD_LEAVING: usize = 16;
 
@@ -93,10 +99,23 @@
 pub enum Out {
     /// Send this datagram.
     Send(SocketAddr, Vec<u8>),
+    /// Have this arrive at this node, over a stream; lost, it is said again later.
+    Tell(Identity, Vec<u8>),
     /// Something is new.
     News(News),
 }
 
+/// Why a node can't be forgotten.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refused {
+    /// Nobody of that name is known.
+    Nobody,
+    /// It has not failed.
+    Lives,
+    /// No more can be remembered.
+    Full,
+}
+
 /// What is new.
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
@@ -187,6 +206,8 @@
     /// By node, its latest complaint.
     deaf: BTreeMap<String, Complaint>,
     left: BTreeMap<String, u64>,
+    /// Nodes that operators have said will not come back, each up to this incarnation. It only grows, so that all agree.
+    gone: BTreeMap<String, u64>,
     bans: Bans,
     /// Bans that have changed and are still to be told.
     changed: Vec<String>,
@@ -289,6 +310,8 @@
     /// Datagrams dropped, by why.
     dropped: BTreeMap<Flaw, u64>,
     draws: Pcg64Mcg,
+    /// When all was last told to a node over a stream, by own time.
+    told_all: BTreeMap<String, f64>,
 }
 
 fn micros(own: f64) -> u64 {
@@ -360,6 +383,7 @@
             next_ticket: 1,
             dropped: BTreeMap::new(),
             draws,
+            told_all: BTreeMap::new(),
         };
         members.timer(0.0, Due::Ask);
         members.timer(members.settings.hello, Due::Hello);
@@ -395,6 +419,68 @@
         self.settle(out);
     }
 
+    /// A word has come over a stream.
+    pub fn told(&mut self, now: f64, bytes: &[u8], out: &mut Vec<Out>) {
+        let own = self.advance(now);
+        match packet::decode_word(self.cluster, bytes) {
+            // Only what is told this way: all else is in datagrams, and its way through them is part of what it means.
+            Ok((from, message @ (Message::Bans(..) | Message::Gone(_)))) => {
+                self.take(own, from, message, out)
+            }
+            Ok(_) => *self.dropped.entry(Flaw::Unknown).or_default() += 1,
+            Err(flaw) => *self.dropped.entry(flaw).or_default() += 1,
+        }
+        self.settle(out);
+    }
+
+    /// An operator says that a node which has failed will not come back: it counts no more. Should it come back all the
+    /// same, it is a member like any other.
+    ///
+    /// # Errors
+    ///
+    /// If it is not known, or has not failed.
+    pub fn forget(&mut self, now: f64, name: &str, out: &mut Vec<Out>) -> Result<(), Refused> {
+        self.advance(now);
+        let (id, state) = self.table.get(name).ok_or(Refused::Nobody)?;
+        let incarnation = id.incarnation;
+        match state {
+            Life::Alive | Life::Suspect => return Err(Refused::Lives),
+            Life::Left => return Ok(()),
+            Life::Failed => {}
+        }
+        self.learn_gone(vec![(name.to_owned(), incarnation)], out);
+        if !self.told.borrow().gone.contains_key(name) {
+            return Err(Refused::Full);
+        }
+        let word = Message::Gone(vec![(name.to_owned(), incarnation)]);
+        let peers: Vec<SocketAddr> = self.alive().map(|peer| peer.address).collect();
+        peers.into_iter().for_each(|peer| self.send(peer, &word, out));
+        self.settle(out);
+        Ok(())
+    }
+
+    fn learn_gone(&mut self, names: Vec<(String, u64)>, out: &mut Vec<Out>) {
+        for (name, incarnation) in names {
+            let mut told = self.told.borrow_mut();
+            let room = told.gone.len() < MOST_GONE || told.gone.contains_key(&name);
+            if !room || name.is_empty() || name.len() > crate::identity::MOST_NAME {
+                continue;
+            }
+            let known = told.gone.entry(name.clone()).or_default();
+            *known = incarnation.max(*known);
+            drop(told);
+            let failed = self.table.get(&name).filter(|(_, state)| *state == Life::Failed);
+            if let Some(life) = failed.map(|(id, _)| id.life) {
+                self.verdict(&name, life, out);
+            }
+        }
+    }
+
+    /// Whether anything was ever said in the fleet of a worker's use.
+    pub fn knows(&self, worker: &str) -> bool {
+        self.told.borrow().bans.knows(worker)
+    }
+
     /// Leaves in good order.
     pub fn leave(&mut self, now: f64, out: &mut Vec<Out>) {
         self.advance(now);
@@ -430,7 +516,7 @@
         self.next_ticket += 1;
         let tells: Vec<(String, Mark)> = marks.iter().map(|mark| (worker.to_owned(), *mark)).collect();
         let peers: Vec<Identity> = self.alive().cloned().collect();
-        for part in parts(&tells) {
+        for part in parts(&tells, MOST_BANS) {
             for peer in &peers {
                 self.send(peer.address, &Message::Hold(ticket, part.clone()), out);
             }
@@ -475,6 +561,18 @@
         self.told.borrow().bans.digest()
     }
 
+    /// The same for all that is compared with others: bans, and who will not come back.
+    fn sum(&self) -> u64 {
+        let told = self.told.borrow();
+        let mut sum = Fnv::default();
+        for (name, incarnation) in &told.gone {
+            sum.add(name.as_bytes());
+            sum.add(&[0]);
+            sum.add(&incarnation.to_le_bytes());
+        }
+        told.bans.digest() ^ sum.0
+    }
+
     /// This node.
     pub fn me(&self) -> &Identity {
         &self.me
@@ -691,7 +789,7 @@
         let order = hearing::order(names);
         let pairs = hearing::pairs(&order, &self.settings.voters, &self.me.name);
         self.hello += 1;
-        let hello = Message::Hello(self.hello, self.digest());
+        let hello = Message::Hello(self.hello, self.sum());
         let pairs: Vec<String> = pairs.into_iter().cloned().collect();
         for name in &pairs {
             if let Some((peer, _)) = self.table.get(name) {
@@ -719,20 +817,40 @@
         if self.stage == Stage::In && !peers.is_empty() {
             let at = self.draw() % peers.len() as u64;
             self.hello += 1;
-            let hello = Message::Hello(self.hello, self.digest());
+            let hello = Message::Hello(self.hello, self.sum());
             self.send(peers[at as usize], &hello, out);
         }
     }
 
-    fn tell_bans(&self, to: SocketAddr, back: bool, out: &mut Vec<Out>) {
+    /// Tells a node all that is compared: in a datagram where it fits one, else over a stream.
+    fn tell_all(&mut self, own: f64, to: &Identity, back: bool, out: &mut Vec<Out>) {
+        let gone: Vec<(String, u64)> = {
+            let told = self.told.borrow();
+            told.gone.iter().map(|(name, incarnation)| (name.clone(), *incarnation)).collect()
+        };
         let all = self.bans();
-        let mut parts = parts(&all);
+        let small =
+            parts(&all, MOST_BANS).len() <= 1 && gone.len() <= MOST_BANS / (crate::identity::MOST_NAME + 16);
+        if !small {
+            let last = self.told_all.get(&*to.name).copied();
+            if last.is_some_and(|at| own - at < TELL_AGAIN) {
+                return; // it is on its way
+            }
+            self.told_all.insert(to.name.to_string(), own);
+        }
+        let mut parts = parts(&all, if small { MOST_BANS } else { MOST_TOLD });
         if parts.is_empty() && back {
             parts.push(Vec::new());
         }
         let last = parts.len().saturating_sub(1);
-        for (n, part) in parts.into_iter().enumerate() {
-            self.send(to, &Message::Bans(part, back && n == last), out);
+        let bans = parts.into_iter().enumerate().map(|(n, part)| Message::Bans(part, back && n == last));
+        let gone = (!gone.is_empty()).then_some(Message::Gone(gone));
+        for message in gone.into_iter().chain(bans) {
+            if small {
+                self.send(to.address, &message, out);
+            } else {
+                out.push(Out::Tell(to.clone(), packet::encode(self.cluster, &self.me, &message)));
+            }
         }
     }
 
@@ -771,8 +889,8 @@
             }
             Message::Hello(number, digest) => {
                 self.hearing.hear(own, &from.name, from.life, number);
-                if digest != self.digest() {
-                    self.tell_bans(from.address, true, out);
+                if digest != self.sum() {
+                    self.tell_all(own, &from, true, out);
                 }
             }
             Message::Suspected(life, incarnation) => {
@@ -788,9 +906,10 @@
             Message::Bans(marks, back) => {
                 self.learn(marks);
                 if back {
-                    self.tell_bans(from.address, false, out);
+                    self.tell_all(own, &from, false, out);
                 }
             }
+            Message::Gone(names) => self.learn_gone(names, out),
             Message::Hold(ticket, marks) => {
                 self.learn(marks);
                 self.send(from.address, &Message::Held(ticket), out);
@@ -938,11 +1057,15 @@
 
     /// Tells that a node has failed or left, if it is still away.
     fn verdict(&mut self, name: &str, life: u64, out: &mut Vec<Out>) {
-        let left = self.told.borrow().left.get(name) == Some(&life);
+        let told = self.told.borrow();
+        let said = told.left.get(name) == Some(&life);
+        let gone = told.gone.get(name).copied();
+        drop(told);
         let Some((id, state)) = self.table.get_mut(name).filter(|(id, _)| id.life == life) else { return };
         if *state == Life::Alive {
             return;
         }
+        let left = said || gone.is_some_and(|up_to| id.incarnation <= up_to);
         *state = if left { Life::Left } else { Life::Failed };
         out.push(Out::News(if left { News::Left(id.clone()) } else { News::Failed(id.clone()) }));
         self.told.borrow_mut().fresh = true;
@@ -1003,12 +1126,12 @@
     }
 }
 
-/// Bans in parts that fit a datagram each.
-fn parts(all: &[(String, Mark)]) -> Vec<Vec<(String, Mark)>> {
+/// Bans in parts of at most so many bytes each.
+fn parts(all: &[(String, Mark)], most: usize) -> Vec<Vec<(String, Mark)>> {
     let (mut parts, mut size) = (Vec::new(), 0);
     for (worker, mark) in all {
         let takes = worker.len() + 24;
-        if parts.is_empty() || size + takes > MOST_BANS {
+        if parts.is_empty() || size + takes > most {
             parts.push(Vec::new());
             size = 0;
         }
--- a/crates/members/src/packet.rs
+++ b/crates/members/src/packet.rs
@@ -44,6 +44,8 @@
     Held(u64),
     /// Hold these bans and say so under this ticket.
     Hold(u64, Vec<(String, Mark)>),
+    /// Nodes that operators have said will not come back, each up to this incarnation.
+    Gone(Vec<(String, u64)>),
 }
 
 /// Why a datagram is dropped.
@@ -95,6 +97,15 @@
 ///
 /// Why it is to be dropped.
 pub fn decode(cluster: u32, bytes: &[u8]) -> Result<(Identity, Message), Flaw> {
+    if bytes.len() > MOST { Err(Flaw::Damaged) } else { decode_word(cluster, bytes) }
+}
+
+/// Reads the same of a stream, where it may be longer.
+///
+/// # Errors
+///
+/// Why it is to be dropped.
+pub fn decode_word(cluster: u32, bytes: &[u8]) -> Result<(Identity, Message), Flaw> {
     if bytes.len() < HEAD || bytes[..2] != *b"PM" {
         return Err(Flaw::Foreign);
     }
@@ -105,7 +116,7 @@
         return Err(Flaw::Cluster);
     }
     let rest = &bytes[HEAD..];
-    if bytes.len() > MOST || bytes[7..HEAD] != crc32fast::hash(rest).to_le_bytes() {
+    if bytes[7..HEAD] != crc32fast::hash(rest).to_le_bytes() {
         return Err(Flaw::Damaged);
     }
     let (read, left): ((Identity, Message), _) =
--- a/crates/members/tests/fleet.rs
+++ b/crates/members/tests/fleet.rs
@@ -372,3 +372,67 @@
     }
     assert!(sim.until(60.0, Sim::agree), "all are back");
 }
+
+/// Guards against a list of bans beyond a datagram that is told in pieces that get lost, without end, or not at all.
+#[test]
+fn thousands_of_bans_go_over_streams_and_all_agree() {
+    let mut sim = Sim::new(6, 21, Settings::default());
+    assert!(sim.until(30.0, Sim::agree));
+    sim.part(&[0, 1], &[2, 3, 4, 5]);
+    for n in 0..1500 {
+        sim.employ(0, &format!("worker-of-one-side-{n}"), false);
+        sim.employ(2, &format!("worker-of-the-other-{n}"), false);
+    }
+    sim.run(10.0);
+    sim.heal();
+    sim.faults.loss = 0.05;
+    let whole = |sim: &Sim| sim.living().all(|(_, _, m)| m.bans().len() == 3000);
+    assert!(sim.until(30.0, Sim::agree));
+    assert!(sim.until(30.0, whole), "{:?}", sim.living().map(|(_, _, m)| m.bans().len()).collect::<Vec<_>>());
+    let new = sim.add("late", address(70));
+    sim.start(new);
+    assert!(sim.until(30.0, Sim::agree) && sim.until(10.0, whole));
+    // Each is told all a few times, not again and again.
+    let told = sim.told;
+    assert!((5..400).contains(&told), "{told}");
+    sim.run(20.0);
+    assert_eq!(sim.told, told, "who agrees is told nothing");
+}
+
+/// Guards against a node that is gone for good and counts for ever, one that is forgotten while it lives, and one that
+/// can't come back because it was forgotten.
+#[test]
+fn who_is_gone_for_good_is_forgotten_also_by_those_who_did_not_hear_it() {
+    use postproxy_members::Refused;
+    for seed in 0..10 {
+        let mut sim = Sim::new(5, seed, Settings::default());
+        assert!(sim.until(30.0, Sim::agree));
+        let forget = |sim: &mut Sim, n: usize, name: &str| {
+            let (now, mut out) = (sim.now, Vec::new());
+            let said = sim.members(n).forget(now, name, &mut out);
+            sim.deliver(n, out);
+            said
+        };
+        assert_eq!(forget(&mut sim, 0, "n4"), Err(Refused::Lives), "it lives");
+        assert_eq!(forget(&mut sim, 0, "n9"), Err(Refused::Nobody));
+        sim.kill(4);
+        let failed =
+            |sim: &Sim| sim.living().all(|(_, _, m)| m.count() == 5 && m.known().failed.contains("n4"));
+        assert!(sim.until(20.0, failed), "seed {seed}: it counts on");
+        sim.part(&[0, 1], &[2, 3]);
+        assert_eq!(forget(&mut sim, 1, "n4"), Ok(()));
+        sim.run(8.0);
+        assert_eq!(
+            (sim.members(0).count(), sim.members(2).count()),
+            (4, 5),
+            "seed {seed}: on one side alone"
+        );
+        sim.heal();
+        let gone = |sim: &Sim| sim.living().all(|(_, _, m)| m.count() == 4 && m.known().left.contains("n4"));
+        assert!(sim.until(30.0, gone), "seed {seed}: {}", sim.picture());
+        sim.start(4);
+        assert!(sim.until(30.0, Sim::agree), "seed {seed}: it is back");
+        sim.kill(4);
+        assert!(sim.until(20.0, failed), "seed {seed}: what was said was of its earlier life");
+    }
+}
--- a/crates/members/tests/sim/mod.rs
+++ b/crates/members/tests/sim/mod.rs
@@ -45,6 +45,7 @@
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum What {
     Arrive(usize, Vec<u8>),
+    Told(usize, Vec<u8>),
     Wake(usize, u64),
 }
 
@@ -62,6 +63,8 @@
     /// So many datagrams wait for a process that is stopped; what comes then is lost.
     pub inbox: usize,
     starts: u64,
+    /// Words over streams so far.
+    pub told: u64,
 }
 
 pub fn address(n: usize) -> SocketAddr {
@@ -98,6 +101,7 @@
             settings,
             inbox: 64,
             starts: 0,
+            told: 0,
         }
     }
 
@@ -196,6 +200,11 @@
         self.queue.push(Reverse(((at * 1e6).ceil() as u64 + 1, self.count, what)));
     }
 
+    /// Does what a call to a node's machine has given.
+    pub fn deliver(&mut self, n: usize, out: Vec<Out>) {
+        self.carry(n, out);
+    }
+
     fn carry(&mut self, n: usize, out: Vec<Out>) {
         for out in out {
             match out {
@@ -203,6 +212,15 @@
                     let now = self.now;
                     self.nodes[n].news.push((now, news));
                 }
+                // A stream goes on after a cut, or is dropped with its node: both come to a way without loss here.
+                Out::Tell(to, bytes) => {
+                    self.told += 1;
+                    let Some(&to) = self.by_address.get(&to.address) else { continue };
+                    if !self.cut.contains(&(n, to)) {
+                        let way = 0.001 + self.uniform() * self.faults.late;
+                        self.push(self.now + way, What::Told(to, bytes));
+                    }
+                }
                 Out::Send(to, bytes) => {
                     let node = &mut self.nodes[n];
                     node.sent += 1;
@@ -267,6 +285,15 @@
                     members.due(now, &mut out);
                     n
                 }
+                What::Told(n, bytes) => {
+                    let node = &mut self.nodes[n];
+                    let now = self.now * node.rate;
+                    let Some(members) = node.members.as_mut().filter(|_| self.now >= node.paused) else {
+                        continue;
+                    };
+                    members.told(now, &bytes, &mut out);
+                    n
+                }
                 What::Arrive(n, bytes) => {
                     let node = &mut self.nodes[n];
                     let now = self.now * node.rate;
--- a/crates/streams/src/streams.rs
+++ b/crates/streams/src/streams.rs
@@ -232,8 +232,8 @@
         }
     }
 
-    /// Another node has connected; whether it may stay.
-    pub fn accepted(&mut self, now: f64, key: usize, out: &mut Vec<Do>) -> bool {
+    /// Another node has connected; one that said nothing may have to go for it.
+    pub fn accepted(&mut self, now: f64, key: usize, out: &mut Vec<Do>) {
         if self.incoming.len() >= MOST_IN {
             // One that has not said who it is goes first, else the one that has been silent for the longest.
             let oldest = self.incoming.iter().min_by(|(_, a), (_, b)| {
@@ -246,7 +246,12 @@
             }
         }
         let stream = Incoming { reader: Reader::default(), from: None, heard: now, unfinished: Some(now) };
-        self.incoming.insert(key, stream).is_none()
+        self.incoming.insert(key, stream);
+    }
+
+    /// Whether another node has made this connection.
+    pub fn is_incoming(&self, key: usize) -> bool {
+        self.incoming.contains_key(&key)
     }
 
     /// Bytes have come on a connection.
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -13,6 +13,18 @@
 pub enum Action {
     /// Who is there, who has failed or left, and how things stand, as one node sees it
     Members(Members),
+    /// Counts a node that has failed no more, at all nodes: it will not come back
+    Forget(Forget),
+}
+
+/// Which node is told, and of which.
+#[derive(Args, Debug)]
+pub struct Forget {
+    /// The name of the node that will not come back
+    name: String,
+    /// Where the operators of some other node call
+    #[arg(long, value_name = "ADDR")]
+    mgmt: SocketAddr,
 }
 
 /// Which node, and how it is told.
@@ -35,7 +47,10 @@
 ///
 /// If the node can't be asked, or knows no others.
 pub fn run(action: Action) -> Result<(), Failure> {
-    let Action::Members(args) = action;
+    let args = match action {
+        Action::Members(args) => args,
+        Action::Forget(args) => return forget(&args),
+    };
     loop {
         let text = picture(args.mgmt)?;
         if args.json {
@@ -51,6 +66,19 @@
     }
 }
 
+fn forget(args: &Forget) -> Result<(), Failure> {
+    let name = percent_encoding::utf8_percent_encode(&args.name, percent_encoding::NON_ALPHANUMERIC);
+    let answer = ask(args.mgmt, "POST", &format!("/v1/fleet/members/{name}/forget"), &[], b"")
+        .map_err(|error| format!("{}: {error}", args.mgmt))?;
+    let text = String::from_utf8_lossy(&answer.body);
+    match answer.status {
+        200 => println!("{} is forgotten", args.name),
+        409 => return Err(format!("{}: it has not failed; end it, then ask again", args.name).into()),
+        _ => return Err(format!("{}: {}", args.name, text.trim_end()).into()),
+    }
+    Ok(())
+}
+
 fn picture(mgmt: SocketAddr) -> Result<String, Failure> {
     let answer =
         ask(mgmt, "GET", "/v1/fleet/members", &[], b"").map_err(|error| format!("{mgmt}: {error}"))?;
@@ -89,7 +117,7 @@
     }
     if !picture.dropped.is_empty() {
         let by: Vec<String> = picture.dropped.iter().map(|(why, n)| format!("{why} {n}")).collect();
-        line(format!("datagrams dropped: {}", by.join(", ")));
+        line(format!("datagrams and streams dropped: {}", by.join(", ")));
     }
     out
 }
--- a/src/net/front/management.rs
+++ b/src/net/front/management.rs
@@ -37,6 +37,8 @@
     Resume(String),
     /// Which nodes are there.
     Members,
+    /// Count the node of this name no more, which has failed.
+    Forget(String),
 }
 
 /// Why a request is no call: the status, and what may be used instead.
@@ -60,6 +62,7 @@
     let (call, methods) = match path.split('/').collect::<Vec<_>>()[..] {
         ["", "v1", "readyz"] => (Call::Ready, GET),
         ["", "v1", "fleet", "members"] => (Call::Members, GET),
+        ["", "v1", "fleet", "members", id, "forget"] => (Call::Forget(name(id)?), POST),
         ["", "v1", "node", "drain"] => (Call::Drain, POST),
         ["", "v1", "node", "activate"] => (Call::Activate, POST),
         ["", "v1", "route-workers", id, "suspend"] => (Call::Suspend(name(id)?), POST),
@@ -186,6 +189,7 @@
             Reply::NotNow => self.tell(reactor, key, 503, "not now\n"),
             Reply::Nobody => self.tell(reactor, key, 404, "nobody has that name\n"),
             Reply::Held(at, of) => self.tell(reactor, key, 200, &format!("yes, at {at} of {of} nodes\n")),
+            Reply::Lives => self.tell(reactor, key, 409, "it has not failed\n"),
             Reply::NoFleet => self.tell(reactor, key, 404, "this node knows no others\n"),
         }
     }
@@ -332,6 +336,9 @@
             ("GET", "/v1/node/drain", Err(405)),
             ("GET", "/v1/fleet/members", Ok(Call::Members)),
             ("POST", "/v1/fleet/members", Err(405)),
+            ("POST", "/v1/fleet/members/n%2D1/forget", Ok(Call::Forget("n-1".into()))),
+            ("GET", "/v1/fleet/members/n-1/forget", Err(405)),
+            ("POST", "/v1/fleet/members//forget", Err(400)),
             ("POST", "/v1/node", Err(404)),
             ("POST", "/v1/node/drain/", Err(404)),
             ("POST", "//v1/node/drain", Err(404)),
--- a/src/net/ground/connection.rs
+++ b/src/net/ground/connection.rs
@@ -96,6 +96,11 @@
         self.written == self.output.len()
     }
 
+    /// Bytes that are still to be written.
+    pub fn owed(&self) -> usize {
+        self.output.len() - self.written
+    }
+
     /// The peer has said its last word.
     pub fn heard_all(&self) -> bool {
         matches!(self.state, State::HalfOpen | State::Ended)
--- a/src/net/ground/reactor.rs
+++ b/src/net/ground/reactor.rs
@@ -6,7 +6,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::VecDeque;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant, SystemTime};
 
 /// A tick of the timers, in seconds.
@@ -192,7 +192,19 @@
 ///
 /// If the connection can't even be started.
 pub fn dial(to: SocketAddr) -> io::Result<TcpStream> {
+    dial_from(None, to)
+}
+
+/// The same from this address of this machine.
+///
+/// # Errors
+///
+/// If the connection can't even be started.
+pub fn dial_from(from: Option<IpAddr>, to: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+    if let Some(from) = from {
+        socket.bind(&SocketAddr::new(from, 0).into())?;
+    }
     socket.set_nonblocking(true)?;
     socket.set_tcp_nodelay(true)?;
     match socket.connect(&to.into()) {
--- a/src/net/hub/transaction.rs
+++ b/src/net/hub/transaction.rs
@@ -380,6 +380,11 @@
         tales
     }
 
+    /// Workers that operators have taken out of use.
+    pub fn banned(&self) -> Vec<String> {
+        self.banned.iter().map(|&worker| self.names[worker].clone()).collect()
+    }
+
     /// How many user agents wait for their final answer.
     pub fn owed(&self) -> usize {
         self.by_agent.len() + self.joiners.len()
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -13,10 +13,12 @@
 use crate::net::hub::transaction::Hub;
 use crate::net::peers::fleet::{self, Fleet};
 use crate::net::peers::handover::{self, Handover};
+use crate::net::peers::wires;
 use crate::net::words::{self, AgentId, Command, Input, Reply};
 use polling::Event;
 use postproxy_handover::{Message, News, Role, Tale};
-use std::collections::HashMap;
+use postproxy_members::Refused;
+use std::collections::{HashMap, HashSet};
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -83,6 +85,8 @@
     holds: HashMap<usize, usize>,
     /// What this one has said that it holds, if it has.
     said: Option<usize>,
+    /// Those over which an older process has told all that was so at the greeting.
+    told: HashSet<usize>,
 }
 
 /// How many connections the node may have, in all its processes.
@@ -179,7 +183,8 @@
         let address = listener.local_addr()?;
         // Three quarters of the memory hold what each user agent's connection can come to at most.
         let memory = (config.memory_mb << 20) / 4 * 3 / user_agent::MOST_HELD;
-        let spare = SPARE + door.as_ref().map_or(0, |_| management::MOST);
+        let streams = config.fleet.as_ref().map_or(0, |_| wires::SOCKETS);
+        let spare = SPARE + door.as_ref().map_or(0, |_| management::MOST) + streams;
         let room = Room { sockets: config.sockets, kept: spare, memory, open: settings.max_open };
         let (most, passes, open) = room.of(config.sockets.saturating_sub(spare));
         settings.max_open = open;
@@ -317,7 +322,7 @@
                 self.linked(events.unwrap_or_default());
             }
             Owner::Peers => {
-                let events = self.fleet.as_mut().map(|fleet| fleet.ready(reactor, key));
+                let events = self.fleet.as_mut().map(|fleet| fleet.ready(reactor, key, readable, writable));
                 self.told_by_fleet(events.unwrap_or_default());
             }
             Owner::Agent => self.agents.ready(reactor, key, readable, writable),
@@ -432,6 +437,7 @@
                     self.employ(key, id, true);
                     continue;
                 }
+                Call::Forget(name) => self.forget(&name),
                 Call::Members => {
                     let picture = self.fleet.as_ref().and_then(Fleet::picture);
                     let text = picture.and_then(|picture| serde_json::to_string(&picture).ok());
@@ -448,6 +454,20 @@
         }
     }
 
+    /// Counts a node that has failed no more, on the word of a caller at the door.
+    fn forget(&mut self, name: &str) -> Reply {
+        let Some(fleet) = &mut self.fleet else { return Reply::NoFleet };
+        match fleet.forget(&mut self.reactor, name) {
+            Ok(events) => {
+                self.told_by_fleet(events);
+                Reply::Yes
+            }
+            Err(Some(Refused::Nobody)) => Reply::Nobody,
+            Err(Some(Refused::Lives)) => Reply::Lives,
+            Err(Some(Refused::Full) | None) => Reply::NotNow,
+        }
+    }
+
     /// Takes a worker out of use, or back into it, on the word of a caller at the door.
     fn employ(&mut self, key: usize, id: String, again: bool) {
         if self.fleet.is_some() {
@@ -481,6 +501,11 @@
                     self.reactor.queue.push_back(Input::Nodes(count));
                     self.farm.place(place);
                 }
+                fleet::Event::Settled => {
+                    let workers = self.hub.banned();
+                    let events = self.fleet.as_mut().map(|fleet| fleet.adopt(&mut self.reactor, workers));
+                    self.told_by_fleet(events.unwrap_or_default());
+                }
                 fleet::Event::Held(key, at, of) => {
                     if let Some(door) = &mut self.door {
                         door.answer(&mut self.reactor, key, Reply::Held(at, of));
@@ -632,6 +657,7 @@
     fn unlinked(&mut self, link: usize, waiting: Vec<AgentId>, stalled: bool) {
         self.reactor.queue.push_back(Input::Unlinked(link));
         self.links.holds.remove(&link);
+        self.links.told.remove(&link);
         self.links.origins.retain(|_, (at, _)| *at != link);
         for agent in waiting {
             if stalled {
@@ -666,14 +692,20 @@
             }
             News::Tale(Tale::List(kept)) => self.farm.take_over(&mut self.reactor, &kept),
             News::Tale(tale) => {
-                // Of two processes one has the place among the nodes, and tells them.
-                if let (Tale::Use { worker, again }, Some(fleet)) = (&tale, &mut self.fleet) {
+                // Of two processes one has the place among the nodes, and tells them. What was so before is no new word: it
+                // is told once it is known what the fleet has said.
+                let older = self.handover.as_ref().is_some_and(|h| h.role(link) == Some(Role::Newer));
+                let new = !older || self.links.told.contains(&link);
+                if let (Tale::Use { worker, again }, Some(fleet), true) = (&tale, &mut self.fleet, new) {
                     let (_, events) = fleet.employ(&mut self.reactor, None, worker, *again);
                     self.told_by_fleet(events);
                 }
                 self.reactor.queue.push_back(Input::Tale(link, tale));
             }
-            News::Told => self.begin(),
+            News::Told => {
+                self.links.told.insert(link);
+                self.begin();
+            }
             News::Holds(most) => {
                 self.links.holds.insert(link, most as usize);
                 self.share();
--- a/src/net/peers/fleet.rs
+++ b/src/net/peers/fleet.rs
@@ -1,9 +1,11 @@
-//! The sockets to other nodes: it moves datagrams between them and the machine that knows who is there, and words
+//! The other nodes: it moves datagrams and words over streams to and from the machine that knows who is there, and words
 //! what the operators' door is asked.
 
 use crate::net::ground::reactor::{Due, Owner, Reactor};
+use crate::net::peers::wires::{Heard, Wires};
 use crate::operator::FleetSection;
-use postproxy_members::{Life, Mark, Members, News, Out};
+use postproxy_members::{Life, Mark, Members, News, Out, Refused};
+use postproxy_streams::Streams;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -16,7 +18,11 @@
 const PLACE: f64 = 0.05;
 /// A caller waits 1 s; own time may go slower than that.
 const ANSWER: f64 = 0.8;
-/// Datagrams dropped are logged so often, in seconds.
+/// So long after it has taken its place a node knows what the fleet has said of workers; what it alone knows it tells then.
+const SETTLED: f64 = 3.0;
+/// A port that the system chose for datagrams may be taken for streams: it chooses again, so often.
+const CHOICES: usize = 16;
+/// What is dropped is logged so often, in seconds.
 const DROPS: f64 = 60.0;
 
 /// What the node is to know of.
@@ -28,6 +34,8 @@
     Nodes(usize, (usize, usize)),
     /// A caller at the door is to be told that its ban holds at so many of so many nodes.
     Held(usize, usize, usize),
+    /// It knows what the fleet has said: what this node alone knows of workers is to be told.
+    Settled,
 }
 
 /// A node as the door shows it.
@@ -70,7 +78,7 @@
     pub missed_s: f64,
     /// Workers out of use for the fleet.
     pub bans: Vec<String>,
-    /// Datagrams dropped, by why.
+    /// Datagrams and streams dropped, by why.
     pub dropped: std::collections::BTreeMap<String, u64>,
 }
 
@@ -78,6 +86,30 @@
     socket: UdpSocket,
     key: usize,
     members: Members,
+    wires: Wires,
+    /// When it is settled, if that is to come.
+    settled: f64,
+}
+
+impl Place {
+    /// Takes in what has come over streams.
+    fn heed(&mut self, now: f64, heard: Vec<Heard>, out: &mut Vec<Out>) {
+        for heard in heard {
+            match heard {
+                Heard::Word(_, _, word) => self.members.told(now, &word, out),
+                // What was dropped is told again when digests differ.
+                Heard::Anew(name) => {
+                    tracing::debug!(name, "a node in a new life: what waited for it is dropped")
+                }
+            }
+        }
+    }
+
+    /// Datagrams and streams dropped, by why.
+    fn dropped(&self) -> std::collections::BTreeMap<String, u64> {
+        let datagrams = self.members.dropped().iter().map(|(flaw, n)| (flaw.word().to_owned(), *n));
+        datagrams.chain(self.wires.flaws().iter().map(|(flaw, n)| (flaw.word().to_owned(), *n))).collect()
+    }
 }
 
 /// The other nodes.
@@ -146,29 +178,48 @@
     }
 
     fn take_place(&mut self, reactor: &mut Reactor) -> std::io::Result<()> {
-        let socket = UdpSocket::bind(self.section.listen)?;
-        socket.set_nonblocking(true)?;
+        // The life must differ from every other's: from the system's own chance, not from the seed.
+        let seed = RandomState::new().build_hasher().finish();
+        let (socket, wires) = self.sockets(reactor, seed)?;
         let key = reactor.register(&socket, Owner::Peers)?;
         reactor.rearm(&socket, key, (true, false));
         let told = self.section.told(socket.local_addr()?);
-        // The life must differ from every other's: from the system's own chance, not from the seed.
-        let seed = RandomState::new().build_hasher().finish();
         let started = (reactor.now * 1000.0) as u64;
         let mut members = Members::new(self.section.settings(), &self.name, told, started, seed, reactor.now);
         members.restore(self.restored.drain(..));
         self.kept = members.digest();
         tracing::info!(name = self.name, address = %told, cluster = self.section.cluster, "among the nodes");
-        self.place = Some(Place { socket, key, members });
+        let settled = reactor.now + SETTLED;
+        self.place = Some(Place { socket, key, members, wires, settled });
         Ok(())
     }
 
+    /// A socket for datagrams and a listener for streams, at one address.
+    fn sockets(&self, reactor: &mut Reactor, life: u64) -> std::io::Result<(UdpSocket, Wires)> {
+        let cluster = postproxy_members::packet::cluster(&self.section.cluster);
+        let mut choices = if self.section.listen.port() == 0 { CHOICES } else { 1 };
+        loop {
+            let socket = UdpSocket::bind(self.section.listen)?;
+            socket.set_nonblocking(true)?;
+            let streams = Streams::new(cluster, &self.name, life);
+            choices -= 1;
+            match Wires::start(reactor, socket.local_addr()?, streams) {
+                Err(error) if choices > 0 && error.kind() == ErrorKind::AddrInUse => {}
+                wires => return Ok((socket, wires?)),
+            }
+        }
+    }
+
     /// Has itself called when there is next something to do.
     fn plan(&mut self, reactor: &mut Reactor) {
         if self.over {
             return;
         }
         let at = match &self.place {
-            Some(place) => place.members.next().unwrap_or(f64::INFINITY),
+            Some(place) => [place.members.next(), place.wires.next(), Some(place.settled)]
+                .into_iter()
+                .flatten()
+                .fold(f64::INFINITY, f64::min),
             None => reactor.now + PLACE,
         };
         let at = self.callers.values().map(|(_, until)| *until).fold(at, f64::min);
@@ -192,19 +243,34 @@
                 _ => {}
             }
         }
-        let mut out = Vec::new();
+        let (mut out, mut settled) = (Vec::new(), false);
         if let Some(place) = &mut self.place {
             place.members.due(reactor.now, &mut out);
             for (ticket, _) in self.callers.iter().filter(|(_, (_, until))| *until <= reactor.now) {
                 place.members.press(reactor.now, *ticket, &mut out);
             }
+            let heard = place.wires.due(reactor);
+            place.heed(reactor.now, heard, &mut out);
+            if place.settled <= reactor.now {
+                // As long as it is none of the nodes, it does not know what they have said.
+                settled = place.members.is_in();
+                place.settled = if settled { f64::INFINITY } else { reactor.now + SETTLED };
+            }
         }
-        self.carry(reactor, out)
+        let mut events = self.carry(reactor, out);
+        events.extend(settled.then_some(Event::Settled));
+        events
     }
 
-    /// Datagrams have come.
-    pub fn ready(&mut self, reactor: &mut Reactor, key: usize) -> Vec<Event> {
-        let Some(place) = self.place.as_mut().filter(|place| place.key == key) else { return Vec::new() };
+    /// Datagrams have come, or a stream can go on.
+    pub fn ready(&mut self, reactor: &mut Reactor, key: usize, readable: bool, writable: bool) -> Vec<Event> {
+        let Some(place) = self.place.as_mut() else { return Vec::new() };
+        if place.key != key {
+            let heard = place.wires.ready(reactor, key, readable, writable);
+            let mut out = Vec::new();
+            place.heed(reactor.now, heard, &mut out);
+            return self.carry(reactor, out);
+        }
         let (mut out, mut bytes) = (Vec::new(), [0; 2048]);
         for _ in 0..MOST_READ {
             match place.socket.recv_from(&mut bytes) {
@@ -239,11 +305,37 @@
         (true, self.carry(reactor, out))
     }
 
+    /// An operator says that a node which has failed will not come back.
+    ///
+    /// # Errors
+    ///
+    /// If that can't be; `None` if this process has no place among the nodes.
+    pub fn forget(&mut self, reactor: &mut Reactor, name: &str) -> Result<Vec<Event>, Option<Refused>> {
+        let (place, mut out) = (self.place.as_mut().ok_or(None)?, Vec::new());
+        place.members.forget(reactor.now, name, &mut out)?;
+        tracing::info!(name, "forgotten on an operator's word");
+        Ok(self.carry(reactor, out))
+    }
+
+    /// Of these workers, which are out of use here, those whose use the fleet has never heard of are out of use for it:
+    /// from before this node had a place, or from an older process that did not tell.
+    pub fn adopt(&mut self, reactor: &mut Reactor, workers: Vec<String>) -> Vec<Event> {
+        let mut out = Vec::new();
+        if let Some(place) = &mut self.place {
+            for worker in workers.iter().filter(|worker| !place.members.knows(worker)).collect::<Vec<_>>() {
+                tracing::info!(worker, "out of use here before: told to the nodes");
+                let _ = place.members.employ(reactor.now, worker, false, &mut out);
+            }
+        }
+        self.carry(reactor, out)
+    }
+
     /// Lets go without a word: a newer process of this node takes the place.
     pub fn yield_place(&mut self, reactor: &Reactor) {
         self.over = true;
         if let Some(place) = self.place.take() {
             reactor.forget(&place.socket);
+            place.wires.end(reactor);
         }
     }
 
@@ -268,7 +360,8 @@
 
     /// What the door shows.
     pub fn picture(&self) -> Option<Picture> {
-        let members = &self.place.as_ref()?.members;
+        let place = self.place.as_ref()?;
+        let members = &place.members;
         let voter = |name: &str| self.section.voters.iter().any(|voter| voter == name);
         let shown = |(id, state): (&postproxy_members::Identity, &str)| Shown {
             name: id.name.to_string(),
@@ -297,7 +390,7 @@
             ill,
             missed_s,
             bans: members.out_of_use(),
-            dropped: members.dropped().iter().map(|(flaw, n)| (flaw.word().to_owned(), *n)).collect(),
+            dropped: place.dropped(),
         })
     }
 
@@ -312,6 +405,12 @@
                         let _ = place.socket.send_to(&bytes, to);
                     }
                 }
+                Out::Tell(to, bytes) => {
+                    let Some(place) = &mut self.place else { continue };
+                    if place.wires.say(reactor, &to.name, to.address, bytes).is_err() {
+                        tracing::warn!(name = &*to.name, "too much waits for a node: not told");
+                    }
+                }
                 Out::News(News::Ban(worker, out)) => events.push(Event::Ban(worker, !out)),
                 Out::News(News::Held(ticket, at, of)) => {
                     if let Some((caller, _)) = self.callers.remove(&ticket) {
@@ -319,6 +418,9 @@
                     }
                 }
                 Out::News(news) => {
+                    if let (News::Failed(id) | News::Left(id), Some(place)) = (&news, &mut self.place) {
+                        place.wires.forget(reactor, &id.name);
+                    }
                     log(&news);
                     changed = true;
                 }
@@ -342,11 +444,11 @@
         if now < self.logged.1 {
             return;
         }
-        let all: u64 = place.members.dropped().values().sum();
+        let dropped = place.dropped();
+        let all: u64 = dropped.values().sum();
         if all > self.logged.0 {
-            let by: Vec<String> =
-                place.members.dropped().iter().map(|(flaw, n)| format!("{} {n}", flaw.word())).collect();
-            tracing::warn!(since_start = by.join(", "), "datagrams were dropped");
+            let by: Vec<String> = dropped.iter().map(|(why, n)| format!("{why} {n}")).collect();
+            tracing::warn!(since_start = by.join(", "), "datagrams or streams were dropped");
             self.logged = (all, now + DROPS);
         }
     }
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -3,3 +3,4 @@
 
 pub mod fleet;
 pub mod handover;
+pub mod wires;
--- a/src/net/words.rs
+++ b/src/net/words.rs
@@ -246,4 +246,6 @@
     Held(usize, usize),
     /// This node knows no others.
     NoFleet,
+    /// A node that is to be forgotten has not failed.
+    Lives,
 }
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -45,10 +45,14 @@
 impl Fleet {
     /// So many nodes with three seeds at most, all of them voters where they are odd.
     fn new(count: usize, seed: u64, stored: bool) -> Self {
+        Self::with(count, seed, stored, &["w-0".into(), "w-1".into(), "w-2".into()])
+    }
+
+    /// The same with workers of these names.
+    fn with(count: usize, seed: u64, stored: bool, names: &[String]) -> Self {
         let folder = folder();
-        let workers: Vec<Worker> = (0..3)
-            .map(|n| Worker::start(&format!("w-{n}"), Duration::from_millis(20)).expect("a worker"))
-            .collect();
+        let start = |name: &String| Worker::start(name, Duration::from_millis(20)).expect("a worker");
+        let workers: Vec<Worker> = names.iter().map(start).collect();
         let discovery = Discovery::start(&workers).expect("discovery");
         let own = addresses(count as u8);
         let at: Vec<SocketAddr> = own.iter().map(|ip| SocketAddr::new(*ip, 7946)).collect();
@@ -391,7 +395,123 @@
     }
     fleet.until("it is counted", &[0], |_, p| p.dropped.values().sum::<u64>() > 500);
     fleet.whole();
-    assert!(fleet.lines(0, "datagrams were dropped") <= 2, "one line a minute: {}", fleet.told());
+    assert!(fleet.lines(0, "datagrams or streams were dropped") <= 2, "one line a minute: {}", fleet.told());
+}
+
+/// Guards against bans beyond a datagram that do not come over streams which break in their middle, stall, or are slow,
+/// and against a node that comes late and is told a part.
+#[test]
+fn a_long_list_of_bans_arrives_over_streams_that_break() {
+    let names: Vec<String> = (0..40).map(|n| format!("w-{n:03}-{}", "x".repeat(200))).collect();
+    let mut fleet = Fleet::with(3, 11, true, &names);
+    fleet.net.part(&[0], &[1, 2]);
+    fleet.history.note("cut");
+    for (n, name) in names.iter().enumerate() {
+        fleet.suspend(if n % 2 == 0 { 0 } else { 1 }, name, false);
+    }
+    fleet.net.heal();
+    let late = Duration::from_millis(20);
+    fleet.net.all(Link { torn: 0.5, late, ..Link::default() });
+    fleet.history.note("torn");
+    let all: Vec<&str> = names.iter().map(String::as_str).collect();
+    fleet.bans("torn, and they agree", &all);
+    fleet.net.all(Link { slow: 8 << 10, ..Link::default() });
+    fleet.history.note("slow");
+    fleet.kill(2);
+    // As on a new disk: what it knows of bans it must be told.
+    std::fs::remove_dir_all(fleet.nodes[2].folder.join("store")).expect("its store");
+    fleet.start(2);
+    fleet.whole();
+    fleet.bans("slow, and back with nothing", &all);
+    fleet.net.heal();
+}
+
+/// Guards against a stream that lies, floods, or stalls at any byte and holds up jobs, the list of nodes or another stream.
+#[test]
+fn streams_that_lie_or_stall_hold_up_nothing() {
+    use postproxy_streams::{GREETING, Packet, frame};
+    use std::io::{Read, Write};
+    use std::net::TcpStream;
+    let fleet = Fleet::new(3, 12, false);
+    let cluster = postproxy_members::packet::cluster("riga");
+    let hello = |n: usize| {
+        let hello = Packet::Hello { cluster, from: format!("x{n}"), life: 5, session: 1, to: "n0".into() };
+        [&GREETING[..], &frame(&hello)].concat()
+    };
+    let connect = || TcpStream::connect(fleet.net.relay(0)).expect("a connection");
+    let whole = [hello(0), frame(&Packet::Word(1, vec![7; 40]))].concat();
+    // One stalls behind each byte; one claims 4 GiB; ten flood, and read nothing.
+    let stalled: Vec<TcpStream> = (0..whole.len())
+        .map(|cut| {
+            let mut stream = connect();
+            stream.write_all(&whole[..cut]).expect("it is written");
+            stream
+        })
+        .collect();
+    let mut liar = connect();
+    liar.write_all(&[&hello(1)[..], &[0xff; 8]].concat()).expect("it is written");
+    let over = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let floods: Vec<_> = (0..10)
+        .map(|n| {
+            let (mut stream, bytes, over) = (connect(), hello(2 + n), over.clone());
+            let words: Vec<u8> =
+                (1..5000).flat_map(|number| frame(&Packet::Word(number, vec![7; 100]))).collect();
+            std::thread::spawn(move || {
+                let _ = stream.write_all(&bytes);
+                while !over.load(Ordering::SeqCst) && stream.write_all(&words).is_ok() {}
+            })
+        })
+        .collect();
+    for n in 0..50 {
+        let id = format!("j-{n}");
+        let fields = [("X-Request-Id", id.as_str()), ("X-Deadline", "5")];
+        let answer = ask(fleet.nodes[0].client, "GET", "/-/ready", &fields, b"").expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(fleet.suspend(0, "w-0", false), "yes, at 3 of 3 nodes\n");
+    fleet.whole();
+    over.store(true, Ordering::SeqCst);
+    floods.into_iter().for_each(|flood| flood.join().expect("it ends"));
+    let dropped = |picture: &Picture, why: &str| picture.dropped.get(why).copied().unwrap_or_default();
+    fleet.until("dropped and counted", &[0], |_, p| {
+        dropped(p, "stream: too long") == 1 && dropped(p, "stream: stalled") >= 1
+    });
+    liar.set_read_timeout(Some(MOST)).expect("a setting");
+    let mut rest = Vec::new();
+    let ended = liar.read_to_end(&mut rest);
+    assert!(ended.is_err() || rest.len() < 64, "its welcome, and the end");
+    drop(stalled);
+    fleet.until("none is left but sound ones", &[0], |_, p| p.standing == "whole");
+}
+
+/// Guards against a node that is gone for good and counts on, and one that is forgotten while it lives.
+#[test]
+fn a_node_that_will_not_come_back_is_forgotten() {
+    let mut fleet = Fleet::new(3, 13, false);
+    let forget = |fleet: &Fleet, name: &str| {
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_postproxy"))
+            .args(["fleet", "forget", name, "--mgmt", &fleet.nodes[0].door.to_string()])
+            .output()
+            .expect("it runs");
+        (output.status.success(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    let (done, text) = forget(&fleet, "n2");
+    assert!(!done && text.contains("it has not failed"), "{text}");
+    let (done, text) = forget(&fleet, "nobody");
+    assert!(!done && text.contains("nobody has that name"), "{text}");
+    fleet.kill(2);
+    fleet.until("n2 has failed", &[0, 1], |_, p| {
+        p.members.iter().any(|m| m.name == "n2" && m.state == "failed")
+    });
+    assert_eq!(fleet.suspend(1, "w-0", false), "yes, at 2 of 3 nodes\n");
+    assert!(forget(&fleet, "n2").0);
+    fleet.until("n2 is forgotten", &[0, 1], |_, p| {
+        p.members.iter().any(|m| m.name == "n2" && m.state == "left")
+    });
+    assert_eq!(fleet.suspend(1, "w-1", false), "yes, at 2 of 2 nodes\n");
+    fleet.start(2);
+    fleet.whole();
+    fleet.bans("it is back and knows", &["w-0", "w-1"]);
 }
 
 /// Guards against two processes of one node that are two members while one takes over, or none, and against a ban that is
@@ -400,12 +520,7 @@
 fn a_replacement_is_no_change_of_members() {
     let mut fleet = Fleet::new(3, 9, false);
     fleet.kill(1);
-    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    listener.set_reuse_address(true).expect("a setting");
-    listener.bind(&fleet.nodes[1].client.into()).expect("its address");
-    listener.listen(64).expect("it listens");
-    listener.set_cloexec(false).expect("it is inherited");
-    fleet.nodes[1].listener = Some(listener);
+    fleet.lend_listener(1);
     fleet.start(1);
     fleet.whole();
     let before = [0, 2].map(|n| (fleet.lines(n, "a node has failed"), fleet.lines(n, "a node has left")));
@@ -429,18 +544,104 @@
     fleet.bans("none is out", &[]);
 }
 
+impl Fleet {
+    /// Changes a node's operator's file.
+    fn change(&self, n: usize, change: impl FnOnce(&mut serde_json::Value)) {
+        let file = self.nodes[n].folder.join("operator.json");
+        let text = std::fs::read_to_string(&file).expect("text");
+        let mut json: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        change(&mut json);
+        std::fs::write(&file, json.to_string()).expect("it is written");
+    }
+
+    /// Gives a node that does not run a listener which outlives its processes.
+    fn lend_listener(&mut self, n: usize) {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        listener.set_reuse_address(true).expect("a setting");
+        listener.bind(&self.nodes[n].client.into()).expect("its address");
+        listener.listen(64).expect("it listens");
+        listener.set_cloexec(false).expect("it is inherited");
+        self.nodes[n].listener = Some(listener);
+    }
+}
+
+/// Guards against a ban that a node knows from a process without the section `fleet`, and that its fleet never hears of.
+#[test]
+fn bans_from_before_there_was_a_fleet_come_to_hold_for_it() {
+    let mut fleet = Fleet::new(3, 14, false);
+    fleet.kill(1);
+    fleet.lend_listener(1);
+    let mut section = serde_json::Value::Null;
+    fleet.change(1, |json| section = json["fleet"].take());
+    fleet.change(1, |json| *json = serde_json::json!({}));
+    fleet.start(1);
+    assert_eq!(fleet.suspend(1, "w-1", false), "yes\n");
+    fleet.suspend(0, "w-2", false);
+    fleet.suspend(0, "w-2", true);
+    // Out of use here from before, and said by the fleet to be in use: the fleet's word counts.
+    assert_eq!(fleet.suspend(1, "w-2", false), "yes\n");
+    fleet.change(1, |json| json["fleet"] = section);
+    let old_door = fleet.nodes[1].door;
+    let mut old = fleet.nodes[1].process.take().expect("it was started");
+    fleet.nodes[1].door = SocketAddr::new(old_door.ip(), 8082);
+    fleet.start(1);
+    fleet.whole();
+    fleet.bans("known to all", &["w-1"]);
+    old.end();
+    assert!(wait(MOST, || old.ended() == Some(true)), "the first one ends");
+    fleet.bans("still", &["w-1"]);
+}
+
+/// Guards against a node that comes back with an older store, or a disk on which each sync takes 2 s, and takes the fleet's
+/// bans back, or is none of the nodes because its disk is slow.
+#[test]
+fn old_state_and_a_slow_disk_change_nothing_that_the_fleet_knows() {
+    let mut fleet = Fleet::new(3, 15, true);
+    fleet.suspend(0, "w-0", false);
+    fleet.suspend(0, "w-1", false);
+    fleet.bans("two are out", &["w-0", "w-1"]);
+    // Long enough for the store's look at what has changed.
+    std::thread::sleep(Duration::from_millis(2500));
+    fleet.process(2).end();
+    assert!(wait(MOST, || fleet.process(2).ended() == Some(true)), "it ends");
+    fleet.nodes[2].process = None;
+    let (store, old) = (fleet.nodes[2].folder.join("store"), fleet.nodes[2].folder.join("old"));
+    std::fs::create_dir_all(&old).expect("a folder");
+    for entry in std::fs::read_dir(&store).expect("its store") {
+        let path = entry.expect("a file").path();
+        std::fs::copy(&path, old.join(path.file_name().expect("a name"))).expect("a copy");
+    }
+    fleet.start(2);
+    fleet.whole();
+    fleet.suspend(1, "w-1", true);
+    fleet.suspend(1, "w-2", false);
+    fleet.bans("as told last", &["w-0", "w-2"]);
+    fleet.kill(2);
+    std::fs::remove_dir_all(&store).expect("its store");
+    std::fs::rename(&old, &store).expect("the older one");
+    fleet.change(2, |json| json["store"]["sync_delay_ms"] = 2000.into());
+    fleet.history.note("n2 has its older store, on a slow disk");
+    fleet.start(2);
+    fleet.whole();
+    fleet.bans("the older store changes nothing", &["w-0", "w-2"]);
+    assert_eq!(fleet.suspend(2, "w-2", true), "yes, at 3 of 3 nodes\n", "nor does it wait for the disk");
+    fleet.bans("w-2 is back", &["w-0"]);
+    (0..2).for_each(|n| {
+        let failed = fleet.lines(n, "a node has failed");
+        assert!(failed <= 1, "the kill alone: {}", fleet.told());
+    });
+}
+
 /// Guards against a node that is taken for its earlier life, or for another's, when it is back at another address.
 #[test]
 fn a_restart_at_another_address_is_the_same_node() {
     let mut fleet = Fleet::new(3, 10, false);
     fleet.kill(2);
     let at = SocketAddr::new(addresses(1)[0], 7946).to_string();
-    let file = fleet.nodes[2].folder.join("operator.json");
-    let text = std::fs::read_to_string(&file).expect("text");
-    let mut json: serde_json::Value = serde_json::from_str(&text).expect("JSON");
-    json["fleet"]["listen"] = at.clone().into();
-    json["fleet"]["advertise"] = at.clone().into();
-    std::fs::write(&file, json.to_string()).expect("it is written");
+    fleet.change(2, |json| {
+        json["fleet"]["listen"] = at.clone().into();
+        json["fleet"]["advertise"] = at.clone().into();
+    });
     fleet.start(2);
     fleet.whole();
     fleet.until("at its new address", &[0, 1], |_, p| {
