Have checkers read the history of faults and name the first step that broke a promise

Need: after a schedule a reader had to find in the logs which step had broken what. The history now keeps questions, answers and runs; crates/faults/check.rs reads it and the nodes' logs: one final answer, none that no worker made, a final word for all, no more runs than the class allows, nobody blamed without a cause, each with the step before and the log's line. Schedules run with three clients that send jobs to all five nodes. kill and operations use its processes.

--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -7,12 +7,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod check;
 mod history;
 mod net;
 mod process;
 mod schedule;
 
-pub use history::History;
+pub use check::Broken;
+pub use history::{Event, History};
 pub use net::{Link, Net, addresses};
 pub use process::Process;
 pub use schedule::{Schedule, Step};
--- a/crates/faults/src/process.rs
+++ b/crates/faults/src/process.rs
@@ -32,6 +32,20 @@
         Ok(Self { child: command.spawn()?, log: log.to_owned(), paused: false })
     }
 
+    /// Starts a command as it is.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be started.
+    pub fn of(command: &mut Command) -> io::Result<Self> {
+        Ok(Self { child: command.spawn()?, log: PathBuf::new(), paused: false })
+    }
+
+    /// Tells it to read its configuration again.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     fn signal(&self, signal: Signal) {
         // The child is ours until it is waited for, so its number is no other's.
         if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
