--- a/crates/faults/src/check.rs
+++ b/crates/faults/src/check.rs
@@ -55,12 +55,11 @@
     let mut touched: BTreeMap<usize, f64> = BTreeMap::new();
     for (at, event) in &events {
         match event {
-            Event::Note(what) => match what.parse() {
-                Ok(Step::Kill(n) | Step::Start(n) | Step::Pause(n) | Step::Wake(n)) => {
+            Event::Note(what) => {
+                if let Ok(Step::Kill(n) | Step::Start(n) | Step::Pause(n) | Step::Wake(n)) = what.parse() {
                     touched.insert(n, *at);
                 }
-                _ => {}
-            },
+            }
             Event::Asked(id, node) => {
                 if asked.insert(id.clone(), (*at, *node)).is_some() {
                     return broken("ids are a client's own", *at, format!("{id} asked twice"));
