Keep the list and the bans that a disk in trouble refused, once it is sound again

Seen with a node of three whose disk was full for a moment: a ban that the store refused was never written again until the next change, so that a death of all nodes lost it; src/net/back/keeper.rs kept no word of it and fleet.rs took it for kept.

'store.trouble_file' for trials: while it holds 'full' or 'sync', writes or syncs fail. Two more tests of three processes: a full disk and syncs that fail; a node that others hear of through a third alone, stopped for 1, 4 and 20 s, and killed.

--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -7,6 +7,7 @@
 use std::io::{self, Write};
 use std::os::unix::fs::{FileExt, OpenOptionsExt};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A folder. Names are flat. What is created, renamed or removed is there after a crash only once
@@ -113,14 +114,34 @@
 #[derive(Clone, Debug)]
 pub struct OsDisk {
     folder: PathBuf,
+    trial: Trial,
+}
+
+/// What goes wrong on purpose.
+#[derive(Clone, Debug, Default)]
+struct Trial {
     delay: Duration,
+    /// While this file is there, the disk has the trouble that its text names.
+    trouble: Option<Arc<Path>>,
+}
+
+impl Trial {
+    /// The trouble there is now, if there may be any.
+    fn has(&self, trouble: &str) -> bool {
+        let Some(path) = &self.trouble else { return false };
+        fs::read_to_string(path).is_ok_and(|text| text.trim() == trouble)
+    }
+
+    fn full(&self) -> io::Result<()> {
+        if self.has("full") { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
 }
 
 /// A file of the system's.
 #[derive(Debug)]
 pub struct OsFile {
     file: fs::File,
-    delay: Duration,
+    trial: Trial,
 }
 
 /// The name of the file that is locked.
@@ -134,13 +155,20 @@
     /// The system's.
     pub fn new(folder: &Path) -> io::Result<Self> {
         fs::create_dir_all(folder)?;
-        Ok(Self { folder: folder.to_owned(), delay: Duration::ZERO })
+        Ok(Self { folder: folder.to_owned(), trial: Trial::default() })
     }
 
     /// For trials: the same, where every sync of a file takes so much longer.
     #[must_use]
     pub fn slowed(mut self, delay: Duration) -> Self {
-        self.delay = delay;
+        self.trial.delay = delay;
+        self
+    }
+
+    /// For trials: the same, which is full while this file holds the word `full`, and fails every sync while it holds `sync`.
+    #[must_use]
+    pub fn troubled(mut self, file: &Path) -> Self {
+        self.trial.trouble = Some(file.into());
         self
     }
 
@@ -153,7 +181,7 @@
         if !fs::metadata(folder)?.is_dir() {
             return Err(io::ErrorKind::NotADirectory.into());
         }
-        Ok(Self { folder: folder.to_owned(), delay: Duration::ZERO })
+        Ok(Self { folder: folder.to_owned(), trial: Trial::default() })
     }
 }
 
@@ -173,14 +201,15 @@
     }
 
     fn create(&self, name: &str) -> io::Result<OsFile> {
+        self.trial.full()?;
         let path = self.folder.join(name);
         let file = OpenOptions::new().read(true).write(true).create_new(true).mode(0o600).open(path)?;
-        Ok(OsFile { file, delay: self.delay })
+        Ok(OsFile { file, trial: self.trial.clone() })
     }
 
     fn open(&self, name: &str) -> io::Result<OsFile> {
         let file = OpenOptions::new().read(true).write(true).open(self.folder.join(name))?;
-        Ok(OsFile { file, delay: self.delay })
+        Ok(OsFile { file, trial: self.trial.clone() })
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
@@ -238,6 +267,7 @@
     }
 
     fn write_at(&self, at: u64, bytes: &[u8]) -> io::Result<()> {
+        self.trial.full()?;
         self.file.write_all_at(bytes, at)
     }
 
@@ -246,8 +276,11 @@
     }
 
     fn sync(&self) -> io::Result<()> {
-        if !self.delay.is_zero() {
-            std::thread::sleep(self.delay);
+        if !self.trial.delay.is_zero() {
+            std::thread::sleep(self.trial.delay);
+        }
+        if self.trial.has("sync") {
+            return Err(io::Error::other("a sync that fails for trials"));
         }
         self.file.sync_data()
     }
--- a/src/net/back/keeper.rs
+++ b/src/net/back/keeper.rs
@@ -41,6 +41,10 @@
     waiting: VecDeque<(u64, Wait)>,
     reads: HashMap<u64, AgentId>,
     next_read: u64,
+    /// Writes of the farm's list and of the fleet's bans that are on their way.
+    keeps: VecDeque<u64>,
+    /// One of them was refused.
+    unkept: bool,
 }
 
 /// Opens the store of a section, with one folder or two.
@@ -54,7 +58,11 @@
     let disks: Result<Vec<OsDisk>, String> = folders
         .map(|folder| {
             let disk = OsDisk::new(Path::new(folder)).map_err(|error| format!("store: {folder}: {error}"));
-            Ok(disk?.slowed(delay))
+            let disk = disk?.slowed(delay);
+            Ok(match &section.trouble_file {
+                Some(file) => disk.troubled(Path::new(file)),
+                None => disk,
+            })
         })
         .collect();
     let options = Options {
@@ -126,7 +134,18 @@
             Work { most_queued: MOST_QUEUED, again: AGAIN, clock: Box::new(unix_ms), wake: Box::new(wake) };
         let (store, events) = Store::start(engine, work).map_err(|error| format!("store: {error}"))?;
         let (waiting, reads) = (VecDeque::new(), HashMap::new());
-        let keeper = Self { store, events, woken, pending, key, waiting, reads, next_read: 0 };
+        let keeper = Self {
+            store,
+            events,
+            woken,
+            pending,
+            key,
+            waiting,
+            reads,
+            next_read: 0,
+            keeps: VecDeque::new(),
+            unkept: false,
+        };
         Ok((keeper, ledger, farm, bans))
     }
 
@@ -142,19 +161,28 @@
         }
     }
 
-    /// Keeps the farm's list. One that is refused is written with the next change.
+    /// Whether a list or bans that were to be kept were refused since this was last asked: they are to be given again.
+    pub fn unkept(&mut self) -> bool {
+        std::mem::take(&mut self.unkept)
+    }
+
+    /// Keeps the farm's list.
     pub fn keep_farm(&mut self, list: &[u8]) {
         self.keep(FARM, list);
     }
 
-    /// Keeps the fleet's bans, likewise.
+    /// Keeps the fleet's bans.
     pub fn keep_bans(&mut self, bans: &[u8]) {
         self.keep(BANS, bans);
     }
 
     fn keep(&mut self, key: &[u8], value: &[u8]) {
-        if let Ok(ticket) = self.store.append(Batch::new().put(key, value, 0)) {
-            self.waiting.push_back((ticket, Wait::Nobody(String::new())));
+        match self.store.append(Batch::new().put(key, value, 0)) {
+            Ok(ticket) => {
+                self.waiting.push_back((ticket, Wait::Nobody(String::new())));
+                self.keeps.push_back(ticket);
+            }
+            Err(_) => self.unkept = true,
         }
     }
 
@@ -180,12 +208,16 @@
     fn told(&mut self, reactor: &mut Reactor, event: Event) {
         match event {
             Event::Durable(last) => {
+                while self.keeps.pop_front_if(|ticket| *ticket <= last).is_some() {}
                 while let Some((_, wait)) = self.waiting.pop_front_if(|(ticket, _)| *ticket <= last) {
                     reactor.queue.push_back(Input::Stored(wait, true));
                 }
             }
             Event::Refused { from, to, why } => {
                 tracing::debug!(from, to, why, "a write is refused");
+                let before = self.keeps.len();
+                self.keeps.retain(|ticket| !(from..=to).contains(ticket));
+                self.unkept |= self.keeps.len() < before;
                 let (refused, rest): (VecDeque<_>, VecDeque<_>) =
                     self.waiting.drain(..).partition(|(ticket, _)| (from..=to).contains(ticket));
                 self.waiting = rest;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -375,11 +375,14 @@
             Due::FarmDial(call) => self.farm.dial_due(reactor, call),
             Due::FarmAgain => self.farm.again(reactor),
             Due::FarmKept => {
-                if let (Some(keeper), Some(list)) = (&mut self.keeper, self.farm.changed()) {
+                let Some(keeper) = &mut self.keeper else { return };
+                // What a disk in trouble has refused is given again, whether or not it has changed.
+                let again = keeper.unkept();
+                let list = self.farm.changed().or_else(|| self.farm.kept().filter(|_| again));
+                if let Some(list) = list {
                     keeper.keep_farm(&list);
                 }
-                let bans = self.fleet.as_mut().and_then(Fleet::changed);
-                if let (Some(keeper), Some(bans)) = (&mut self.keeper, bans) {
+                if let Some(bans) = self.fleet.as_mut().and_then(|fleet| fleet.changed(again)) {
                     keeper.keep_bans(&bans);
                 }
                 reactor.timer(reactor.now + FARM_KEPT, Due::FarmKept);
--- a/src/net/peers/fleet.rs
+++ b/src/net/peers/fleet.rs
@@ -349,10 +349,10 @@
         self.yield_place(reactor);
     }
 
-    /// The fleet's bans, if they have changed since they were kept.
-    pub fn changed(&mut self) -> Option<Vec<u8>> {
+    /// The fleet's bans, if they have changed since they were kept, or are asked for again.
+    pub fn changed(&mut self, again: bool) -> Option<Vec<u8>> {
         let members = &self.place.as_ref()?.members;
-        if members.digest() == std::mem::replace(&mut self.kept, members.digest()) {
+        if members.digest() == std::mem::replace(&mut self.kept, members.digest()) && !again {
             return None;
         }
         postcard::to_stdvec(&members.bans()).ok()
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -196,6 +196,9 @@
     /// For trials: every sync takes so many milliseconds longer, as on a slow disk.
     #[serde(default)]
     pub sync_delay_ms: u64,
+    /// For trials: while this file holds the word `full`, writes fail as on a full disk; while it holds `sync`, syncs do.
+    #[serde(default)]
+    pub trouble_file: Option<String>,
 }
 
 fn segment_mb() -> u64 {
@@ -233,6 +236,7 @@
             result_kb: result_kb(),
             most_jobs: most_jobs(),
             sync_delay_ms: 0,
+            trouble_file: None,
         }
     }
 
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -86,8 +86,7 @@
             Node { name, process: None, client, door, folder: mine, listener: None }
         });
         let nodes = nodes.collect();
-        let mut fleet =
-            Self { nodes, net, history: History::default(), folder, workers: workers, words: Vec::new() };
+        let mut fleet = Self { nodes, net, history: History::default(), folder, workers, words: Vec::new() };
         (0..count).for_each(|n| fleet.start(n));
         fleet.whole();
         fleet
@@ -668,6 +667,71 @@
     });
 }
 
+/// Guards against a full disk, or one whose syncs fail, that takes a node out of the fleet, keeps bans from it, or has it
+/// forget them although the disk was sound again before it died.
+#[test]
+fn a_full_disk_and_syncs_that_fail_are_no_change_of_members_and_lose_no_ban() {
+    let mut fleet = Fleet::new(3, 16, true);
+    fleet.process(1).end();
+    assert!(wait(MOST, || fleet.process(1).ended() == Some(true)), "it ends");
+    let trouble = fleet.nodes[1].folder.join("trouble");
+    fleet.change(1, |json| json["store"]["trouble_file"] = trouble.display().to_string().into());
+    fleet.start(1);
+    fleet.whole();
+    for (n, (worker, word)) in [("w-0", "sync"), ("w-1", "full")].into_iter().enumerate() {
+        std::fs::write(&trouble, word).expect("it is written");
+        fleet.history.note(format!("n1's disk: {word}"));
+        assert_eq!(fleet.suspend(1, worker, false), "yes, at 3 of 3 nodes\n");
+        let troubled = || fleet.lines(1, "the store takes no writes") == n + 1;
+        assert!(wait(MOST, troubled), "{}", fleet.told());
+        fleet.whole();
+        let client = fleet.nodes[1].client;
+        let id = format!("j-{word}");
+        let fields = [("X-Request-Id", id.as_str()), ("X-Deadline", "5")];
+        assert_eq!(
+            ask(client, "POST", "/reroute/x", &fields, b"s").expect("an answer").status,
+            200,
+            "safe jobs go on"
+        );
+        std::fs::remove_file(&trouble).expect("it was there");
+        let sound = || fleet.lines(1, "the store takes writes again") == n + 1;
+        assert!(wait(MOST, sound), "{}", fleet.told());
+    }
+    // Long enough for the store's look at what was refused.
+    std::thread::sleep(Duration::from_millis(2500));
+    (0..3).for_each(|n| fleet.kill(n));
+    // It alone is back: what it knows is what it kept.
+    fleet.start(1);
+    fleet.until("kept", &[1], |_, p| p.bans == ["w-0", "w-1"]);
+}
+
+/// Guards against word of a node that others hear of only through a third: that it was stopped, for however long, or killed,
+/// and against one that is called failed because it is on the far side of a line.
+#[test]
+fn a_node_heard_of_through_a_third_is_stopped_and_killed() {
+    let mut fleet = Fleet::new(3, 17, false);
+    fleet.net.part(&[0], &[2]);
+    fleet.history.note("cut 0 2");
+    let line = |picture: &Picture| picture.standing == "some pairs cut" && picture.reasons.len() == 2;
+    fleet.until("a line", &[0, 1, 2], |_, p| line(p));
+    for seconds in [1, 4, 20] {
+        fleet.pause(&[2], Duration::from_secs(seconds));
+        fleet.until("a line again", &[0, 1, 2], |_, p| {
+            line(p) && p.members.iter().all(|m| m.state != "failed")
+        });
+        assert_eq!(fleet.lines(2, "a node has failed"), 0, "it blames nobody: {}", fleet.told());
+    }
+    fleet.kill(2);
+    fleet.until("known through the middle", &[0, 1], |_, p| {
+        p.standing == "cut off with a majority"
+            && p.members.iter().any(|m| m.name == "n2" && m.state == "failed")
+    });
+    assert_eq!(fleet.lines(0, "a node has failed name=\"n1\""), 0, "{}", fleet.told());
+    fleet.net.heal();
+    fleet.start(2);
+    fleet.whole();
+}
+
 /// Guards against a node that is taken for its earlier life, or for another's, when it is back at another address.
 #[test]
 fn a_restart_at_another_address_is_the_same_node() {
