Have a voter that follows nobody try to lead, and folds that begin before merge

A delta that begins before the words that were folded since it was asked for was taken for none; an error of storage ended the run.

--- a/crates/agreement/src/memory.rs
+++ b/crates/agreement/src/memory.rs
@@ -62,11 +62,15 @@
     fn merge(&mut self, delta: Self) {
         if delta.base.is_some() || delta.from == 0 && !delta.words.is_empty() {
             *self = delta;
-        } else if !delta.words.is_empty() {
-            self.words.truncate(delta.from.saturating_sub(self.from));
-            // A delta that begins beyond is none of this: what is short is found out when it is folded.
-            if self.from + self.words.len() == delta.from {
-                self.words.extend(delta.words);
+        } else {
+            // It may begin before, where this one was folded since it was asked for.
+            let known = self.from.saturating_sub(delta.from).min(delta.words.len());
+            let from = delta.from + known;
+            let keep = from.saturating_sub(self.from);
+            // One that begins beyond is none of this: what is short is found out when it is folded.
+            if known < delta.words.len() && keep <= self.words.len() {
+                self.words.truncate(keep);
+                self.words.extend(delta.words.into_iter().skip(known));
             }
         }
     }
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -20,6 +20,10 @@
 /// Ticks without a hello of the leader before another is sought, and between repeated messages.
 const ELECTION: u64 = 5;
 const RESEND: u64 = 10;
+/// So many ticks without a leader that it follows, or that leads by its word, before it tries to lead itself; some more by its
+/// number, and twice as many each time. The library's own election can leave a voter behind that had promised
+/// somebody more than the one who leads (1 of 10,000 simulated runs): its requests are passed over for ever.
+const LEFT_BEHIND: u64 = 60;
 
 /// What is to be done, or has come of it.
 #[derive(Clone, Debug, PartialEq)]
@@ -83,6 +87,9 @@
     read: usize,
     told: usize,
     state: F,
+    /// Ticks without a leader, and after how many it tries itself.
+    astray: u64,
+    patience: u64,
 }
 
 impl<F: Fold> Voter<F> {
@@ -116,7 +123,19 @@
         let paxos = cluster.build_for_server(server, memory).map_err(|error| Damage(error.to_string()))?;
         let held = VecDeque::new();
         let state = F::default();
-        let mut voter = Self { me, paxos, journal, written: 0, durable: 0, held, read: 0, told: 0, state };
+        let mut voter = Self {
+            me,
+            paxos,
+            journal,
+            written: 0,
+            durable: 0,
+            held,
+            read: 0,
+            told: 0,
+            state,
+            astray: 0,
+            patience: LEFT_BEHIND + 7 * me,
+        };
         // What was kept is durable: what is decided of it holds at once.
         let mut out = Vec::new();
         voter.pass(&mut out);
@@ -153,6 +172,13 @@
         // One whose disk does not come to an end says nothing new meanwhile: others will see to it.
         if self.held.len() < MOST_HELD {
             self.paxos.tick();
+            self.astray = if self.leader().is_some_and(|(_, follows)| follows) { 0 } else { self.astray + 1 };
+            if self.astray == 0 {
+                self.patience = LEFT_BEHIND + 7 * self.me;
+            } else if self.astray > self.patience {
+                (self.astray, self.patience) = (0, (self.patience * 2).min(64 * LEFT_BEHIND));
+                self.paxos.try_become_leader();
+            }
         }
         self.pass(out);
     }
--- a/crates/agreement/tests/voters.rs
+++ b/crates/agreement/tests/voters.rs
@@ -40,11 +40,14 @@
     store: bool,
 }
 
+/// What is on its way, each with when it is there.
+type Link = VecDeque<(u64, Vec<u8>)>;
+
 struct Sim {
     now: u64,
     draws: Pcg64Mcg,
     nodes: Vec<Node>,
-    links: BTreeMap<(usize, usize), VecDeque<(u64, Vec<u8>)>>,
+    links: BTreeMap<(usize, usize), Link>,
     cut: BTreeSet<(usize, usize)>,
     /// By place, what was decided there, and what all up to it comes to.
     log: BTreeMap<u64, (Vec<u8>, Sum)>,
@@ -345,8 +348,10 @@
 /// log that grows without end, and a set of voters that does not go on once all is well.
 #[test]
 fn each_place_holds_one_word_whatever_fails() {
-    let (mut words, mut refused, mut longest) = (0, 0, 0);
-    for seed in runs() {
+    let (mut words, mut refused, mut longest, mut count) = (0, 0, 0, 0);
+    // The last one left a voter behind for ever, before it tried to lead by itself.
+    for seed in runs().chain([8508]) {
+        count += 1;
         let mut sim = Sim::new([3, 5, 7][seed as usize % 3], seed, Without::default());
         assert!(sim.serves(10_000), "seed {seed}: from the start: {}", sim.picture());
         for _ in 0..8 {
@@ -368,7 +373,7 @@
             .max(sim.nodes.iter().filter_map(|n| n.voter.as_ref()).map(Voter::length).max().unwrap_or(0));
     }
     println!("{words} words decided, {refused} not taken, at most {longest} in memory");
-    assert!(words > 1000, "{words}");
+    assert!(words > 100 * count, "{words}");
 }
 
 /// Guards against guards that guard nothing: a voter that speaks before its disk has, or that votes on without what it had
