--- a/crates/duties/src/state.rs
+++ b/crates/duties/src/state.rs
@@ -156,6 +156,12 @@
         answer
     }
 
+    /// What this call of this client came to, while it is its latest.
+    pub fn answer(&self, node: &str, life: u64, number: u64) -> Option<&Answer> {
+        let client = self.clients.get(&(node.to_owned(), life))?;
+        (client.number == number).then_some(&client.answer)
+    }
+
     /// A duty of this name.
     pub fn duty(&self, name: &str) -> Option<&Duty> {
         self.duties.get(name)
