--- /dev/null
+++ b/crates/agreement/src/admission.rs
@@ -0,0 +1,226 @@
+//! Whether a process may vote under its number. A voter that comes back with an empty or an older store has lost what it had
+//! promised, and must not.
+//!
+//! Each start has a number, which is kept before it is told; the others keep the highest that they have heard of each voter before
+//! they say that they have. Who hears that a start of its number, or a later one, is known already has an older store. Who has kept
+//! nothing asks all others: where anybody knows of a start, it has lost its store; where nobody does, it has never voted.
+//!
+//! A process may vote once all others have heard of its start, or a majority with itself has and the rest stay silent for [`GRACE`].
+//! So an old store goes unnoticed only if all who had heard of its latest start are away, or have lost their stores, for as long. To wait for
+//! all without an end would leave three voters without a majority once one has died for good and another is started anew.
+
+use crate::memory::Change;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// What voters say to each other before they vote.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Say {
+    /// Who has kept nothing asks: what is known of my number?
+    Who,
+    /// The highest start known of the asker, 0 for none.
+    Known(u64),
+    /// This is the start of the sender's of this number, by the process of this life.
+    Started(u64, u64),
+    /// It is kept.
+    Seen(u64),
+    /// This start of another process, or a later one, was known before.
+    Old(u64),
+}
+
+/// What may be done.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// Not known yet.
+    Wait,
+    /// It may vote.
+    Vote,
+    /// It has lost its promises: it must not, and can only be added anew.
+    Lost,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// Say this to that voter.
+    Say(u64, Say),
+    /// Write these; [`Admission::durable`] is told when they are.
+    Write(u64, Vec<Change>),
+}
+
+/// Of one voter, from its start on.
+#[derive(Debug)]
+pub struct Admission {
+    me: u64,
+    /// Drawn at the start of the process: what it says again is told from what another says.
+    life: u64,
+    voters: Vec<u64>,
+    /// Its start, once it is kept.
+    start: Option<u64>,
+    /// Of the others: their latest start, and of which life.
+    known: BTreeMap<u64, (u64, u64)>,
+    empty: BTreeSet<u64>,
+    seen: BTreeSet<u64>,
+    /// Ticks since its start was told first.
+    waited: u64,
+    verdict: Verdict,
+    written: u64,
+    durable: u64,
+    /// Its own start's write, until that is durable.
+    starting: Option<(u64, u64)>,
+    held: VecDeque<(u64, u64, Say)>,
+}
+
+/// So many ticks others are waited for who say nothing.
+pub const GRACE: u64 = 50;
+
+const START: &[u8] = b"s/start";
+const KNOWN: &[u8] = b"s/known/";
+
+impl Admission {
+    /// The voter of this number among these, from what it had kept (keys that begin with `s/`).
+    pub fn new(
+        me: u64,
+        life: u64,
+        voters: &[u64],
+        kept: impl IntoIterator<Item = (Vec<u8>, Vec<u8>)>,
+    ) -> Self {
+        let number = |bytes: &[u8]| bytes.try_into().map(u64::from_be_bytes).ok();
+        let both = |bytes: &[u8]| Some((number(bytes.get(..8)?)?, number(bytes.get(8..)?)?));
+        let (mut start, mut known) = (None, BTreeMap::new());
+        for (key, value) in kept {
+            // What can't be read counts as lost, which is the careful side.
+            match key.strip_prefix(KNOWN).and_then(number) {
+                Some(voter) => {
+                    known.insert(voter, both(&value).unwrap_or((u64::MAX, 0)));
+                }
+                None if key == START => start = number(&value),
+                None => {}
+            }
+        }
+        let mut admission = Self {
+            me,
+            life,
+            voters: voters.to_vec(),
+            start: None,
+            known,
+            empty: BTreeSet::new(),
+            seen: BTreeSet::new(),
+            waited: 0,
+            verdict: Verdict::Wait,
+            written: 0,
+            durable: 0,
+            starting: None,
+            held: VecDeque::new(),
+        };
+        admission.starting = start.map(|start| (0, start + 1));
+        admission
+    }
+
+    /// What may be done.
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
+    fn others(&self) -> impl Iterator<Item = u64> {
+        self.voters.iter().copied().filter(|voter| *voter != self.me)
+    }
+
+    fn write(&mut self, key: Vec<u8>, numbers: &[u64], out: &mut Vec<Act>) -> u64 {
+        self.written += 1;
+        let value = Some(numbers.iter().flat_map(|number| number.to_be_bytes()).collect());
+        out.push(Act::Write(self.written, vec![Change { key, value }]));
+        self.written
+    }
+
+    /// It may vote once all have heard, or enough and the others are silent.
+    fn judge(&mut self) {
+        let all = self.seen.len() + 1 == self.voters.len();
+        let enough = self.seen.len() + 1 > self.voters.len() / 2 && self.waited >= GRACE;
+        if self.verdict == Verdict::Wait && (all || enough) {
+            self.verdict = Verdict::Vote;
+        }
+    }
+
+    /// A tick, some ten a second: asks and tells again until all have heard, or it must not vote.
+    pub fn tick(&mut self, out: &mut Vec<Act>) {
+        if self.verdict == Verdict::Lost {
+            return;
+        }
+        if self.start.is_some() {
+            self.waited += 1;
+            self.judge();
+        }
+        if let Some((0, start)) = self.starting {
+            let write = self.write(START.to_vec(), &[start], out);
+            self.starting = Some((write, start));
+        }
+        let say = match (self.start, self.starting) {
+            (Some(start), _) => Say::Started(start, self.life),
+            (None, Some(_)) => return,
+            (None, None) => Say::Who,
+        };
+        let unheard: Vec<u64> = self.others().filter(|voter| !self.seen.contains(voter)).collect();
+        out.extend(unheard.into_iter().map(|voter| Act::Say(voter, say)));
+    }
+
+    /// All writes up to this one are durable.
+    pub fn durable(&mut self, number: u64, out: &mut Vec<Act>) {
+        self.durable = self.durable.max(number);
+        if let Some((_, start)) = self.starting.take_if(|(write, _)| *write > 0 && *write <= self.durable) {
+            self.start = Some(start);
+            self.tick(out);
+        }
+        while let Some((_, to, say)) = self.held.pop_front_if(|(after, ..)| *after <= self.durable) {
+            out.push(Act::Say(to, say));
+        }
+    }
+
+    /// A voter says something.
+    pub fn receive(&mut self, from: u64, say: Say, out: &mut Vec<Act>) {
+        if !self.others().any(|voter| voter == from) {
+            return;
+        }
+        let known = self.known.get(&from).copied().unwrap_or((0, 0));
+        match say {
+            Say::Who => out.push(Act::Say(from, Say::Known(known.0))),
+            Say::Started(start, life) if start > known.0 => {
+                self.known.insert(from, (start, life));
+                let write = self.write([KNOWN, &from.to_be_bytes()].concat(), &[start, life], out);
+                self.held.push_back((write, from, Say::Seen(start)));
+            }
+            // Told again: the answer was lost, or its write is under way.
+            Say::Started(start, life) if (start, life) == known => {
+                self.held.push_back((self.written, from, Say::Seen(start)));
+                self.durable(self.durable, out);
+            }
+            Say::Started(start, _) => out.push(Act::Say(from, Say::Old(start))),
+            Say::Known(start) => {
+                if self.start.is_some() || self.starting.is_some() || self.verdict != Verdict::Wait {
+                    return;
+                }
+                if start > 0 {
+                    self.verdict = Verdict::Lost;
+                    return;
+                }
+                self.empty.insert(from);
+                if self.empty.len() + 1 == self.voters.len() {
+                    self.starting = Some((0, 1));
+                    self.tick(out);
+                }
+            }
+            Say::Seen(start) => {
+                if self.start == Some(start) {
+                    self.seen.insert(from);
+                    self.judge();
+                }
+            }
+            Say::Old(start) => {
+                // Also after it was let vote: better late.
+                if self.start == Some(start) {
+                    self.verdict = Verdict::Lost;
+                }
+            }
+        }
+    }
+}
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod admission;
 mod memory;
 mod voter;
 
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -94,7 +94,8 @@
 
 impl<F: Fold> Voter<F> {
     /// The voter of this number among these, from what it had kept; a new one from nothing. **One that has voted before and comes
-    /// back with less than it had kept must not be this number any more**: it may break what it has promised. What comes of it is
+    /// back with less than it had kept must not be this number any more** ([`crate::admission`] says): it may break what it has
+    /// promised. What comes of it is
     /// to be done as of any other call.
     ///
     /// # Errors
