Begin the library's log anew where it forgets that what it took over is decided

A leader of omnipaxos 0.2.4 takes over what another has folded up to place 124 (handle_majority_promises) while that one's promise was asked for again (reset_promise), so that its decided index is 106, and sends a state of 124 words as one of 106.

--- a/crates/agreement/src/memory.rs
+++ b/crates/agreement/src/memory.rs
@@ -202,6 +202,106 @@
     }
 }
 
+/// The log, which the library has one hand on and the voter another: should the library lose its way, it begins anew from it.
+#[derive(Debug)]
+pub struct Shared<F: Fold>(pub Rc<RefCell<Memory<F>>>);
+
+impl<F: Fold> Shared<F> {
+    /// Another hand on the same.
+    pub fn again(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<F: Fold> Memory<F> {
+    /// What was folded is decided, whatever was said of it.
+    pub fn mend(&mut self) {
+        self.decided = self.decided.max(self.compacted);
+    }
+}
+
+impl<F: Fold> Storage<Word<F>> for Shared<F> {
+    fn write_atomically(&mut self, ops: Vec<StorageOp<Word<F>>>) -> StorageResult<()> {
+        self.0.borrow_mut().write_atomically(ops)
+    }
+
+    fn append_entry(&mut self, entry: Word<F>) -> StorageResult<()> {
+        self.0.borrow_mut().append_entry(entry)
+    }
+
+    fn append_entries(&mut self, entries: Vec<Word<F>>) -> StorageResult<()> {
+        self.0.borrow_mut().append_entries(entries)
+    }
+
+    fn append_on_prefix(&mut self, from: usize, entries: Vec<Word<F>>) -> StorageResult<()> {
+        self.0.borrow_mut().append_on_prefix(from, entries)
+    }
+
+    fn set_promise(&mut self, promise: Ballot) -> StorageResult<()> {
+        self.0.borrow_mut().set_promise(promise)
+    }
+
+    fn set_decided_idx(&mut self, index: usize) -> StorageResult<()> {
+        self.0.borrow_mut().set_decided_idx(index)
+    }
+
+    fn get_decided_idx(&self) -> StorageResult<usize> {
+        self.0.borrow().get_decided_idx()
+    }
+
+    fn set_accepted_round(&mut self, round: Ballot) -> StorageResult<()> {
+        self.0.borrow_mut().set_accepted_round(round)
+    }
+
+    fn get_accepted_round(&self) -> StorageResult<Option<Ballot>> {
+        self.0.borrow().get_accepted_round()
+    }
+
+    fn get_entries(&self, from: usize, to: usize) -> StorageResult<Vec<Word<F>>> {
+        self.0.borrow().get_entries(from, to)
+    }
+
+    fn get_log_len(&self) -> StorageResult<usize> {
+        self.0.borrow().get_log_len()
+    }
+
+    fn get_suffix(&self, from: usize) -> StorageResult<Vec<Word<F>>> {
+        self.0.borrow().get_suffix(from)
+    }
+
+    fn get_promise(&self) -> StorageResult<Option<Ballot>> {
+        self.0.borrow().get_promise()
+    }
+
+    fn set_stopsign(&mut self, stop: Option<StopSign>) -> StorageResult<()> {
+        self.0.borrow_mut().set_stopsign(stop)
+    }
+
+    fn get_stopsign(&self) -> StorageResult<Option<StopSign>> {
+        self.0.borrow().get_stopsign()
+    }
+
+    fn trim(&mut self, index: usize) -> StorageResult<()> {
+        self.0.borrow_mut().trim(index)
+    }
+
+    fn set_compacted_idx(&mut self, index: usize) -> StorageResult<()> {
+        self.0.borrow_mut().set_compacted_idx(index)
+    }
+
+    fn get_compacted_idx(&self) -> StorageResult<usize> {
+        self.0.borrow().get_compacted_idx()
+    }
+
+    fn set_snapshot(&mut self, snapshot: Option<Folded<F>>) -> StorageResult<()> {
+        self.0.borrow_mut().set_snapshot(snapshot)
+    }
+
+    fn get_snapshot(&self) -> StorageResult<Option<Folded<F>>> {
+        self.0.borrow().get_snapshot()
+    }
+}
+
 impl<F: Fold> Storage<Word<F>> for Memory<F> {
     fn write_atomically(&mut self, ops: Vec<StorageOp<Word<F>>>) -> StorageResult<()> {
         for op in ops {
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -1,7 +1,7 @@
 //! One voter.
 
 use crate::Fold;
-use crate::memory::{Change, Damage, Journal, Memory, Word};
+use crate::memory::{Change, Damage, Journal, Memory, Shared, Word};
 use omnipaxos::messages::Message;
 use omnipaxos::util::LogEntry;
 use omnipaxos::{ClusterConfig, OmniPaxos, ServerConfig};
@@ -77,7 +77,11 @@
 /// One voter of a fixed set.
 pub struct Voter<F: Fold> {
     me: u64,
-    paxos: OmniPaxos<Word<F>, Memory<F>>,
+    paxos: OmniPaxos<Word<F>, Shared<F>>,
+    voters: Vec<u64>,
+    memory: Shared<F>,
+    /// How often the library has lost its way.
+    begun_anew: u64,
     journal: Rc<RefCell<Journal>>,
     /// The number of the latest write, and of the latest that is durable.
     written: u64,
@@ -112,21 +116,17 @@
             )));
         }
         let journal = Rc::new(RefCell::new(Journal::default()));
-        let memory = Memory::restore(kept, journal.clone())?;
-        let nodes = voters.to_vec();
-        let cluster = ClusterConfig { configuration_id: 1, nodes, flexible_quorum: None };
-        let server = ServerConfig {
-            pid: me,
-            election_tick_timeout: ELECTION,
-            resend_message_tick_timeout: RESEND,
-            ..ServerConfig::default()
-        };
-        let paxos = cluster.build_for_server(server, memory).map_err(|error| Damage(error.to_string()))?;
+        let memory = Shared(Rc::new(RefCell::new(Memory::restore(kept, journal.clone())?)));
+        let paxos = begin(me, voters, memory.again())?;
+        let voters = voters.to_vec();
         let held = VecDeque::new();
         let state = F::default();
         let mut voter = Self {
             me,
             paxos,
+            voters,
+            memory,
+            begun_anew: 0,
             journal,
             written: 0,
             durable: 0,
@@ -168,6 +168,11 @@
         self.paxos.get_accepted_idx() - self.paxos.get_compacted_idx()
     }
 
+    /// How often the library has lost its way and was begun anew from what it had noted.
+    pub fn begun_anew(&self) -> u64 {
+        self.begun_anew
+    }
+
     /// A tick: they come evenly, some ten a second.
     pub fn tick(&mut self, out: &mut Vec<Out>) {
         // One whose disk does not come to an end says nothing new meanwhile: others will see to it.
@@ -236,6 +241,17 @@
     fn pass(&mut self, out: &mut Vec<Out>) {
         let mut messages = Vec::new();
         self.paxos.take_outgoing_messages(&mut messages);
+        if self.paxos.get_compacted_idx() > self.paxos.get_decided_idx() {
+            // A leader of omnipaxos 0.2.4 can take over what another has folded, and forget that it is decided, where the
+            // promise that it came with was asked for again meanwhile. What it would say from then on contradicts itself: it
+            // ends as by a death at this point, and begins anew with all that it had noted.
+            self.memory.0.borrow_mut().mend();
+            if let Ok(paxos) = begin(self.me, &self.voters, self.memory.again()) {
+                (self.paxos, self.begun_anew) = (paxos, self.begun_anew + 1);
+                messages.clear();
+                self.paxos.take_outgoing_messages(&mut messages);
+            }
+        }
         let decided = self.decided();
         // The words that are told are folded into the snapshot now and then; that is only memory and disk.
         if self.told >= self.paxos.get_compacted_idx() + FOLD {
@@ -304,3 +320,19 @@
         }
     }
 }
+
+/// The library's part of a voter.
+fn begin<F: Fold>(
+    me: u64,
+    voters: &[u64],
+    memory: Shared<F>,
+) -> Result<OmniPaxos<Word<F>, Shared<F>>, Damage> {
+    let cluster = ClusterConfig { configuration_id: 1, nodes: voters.to_vec(), flexible_quorum: None };
+    let server = ServerConfig {
+        pid: me,
+        election_tick_timeout: ELECTION,
+        resend_message_tick_timeout: RESEND,
+        ..ServerConfig::default()
+    };
+    cluster.build_for_server(server, memory).map_err(|error| Damage(error.to_string()))
+}
