--- a/crates/duties/tests/whole.rs
+++ b/crates/duties/tests/whole.rs
@@ -415,8 +415,5 @@
     println!("{runs} runs, {tokens} tokens, {refused} effects refused, {begun_anew} logs begun anew");
     println!("at most {longest} ms until all have owners");
     assert!(begun_anew > 0, "the library did lose its way");
-    assert!(
-        (tokens > 4 * runs || runs < 20) && (refused > 0 || runs < 20),
-        "{tokens} tokens, {refused} refused"
-    );
+    assert!(runs < 20 || tokens > 4 * runs && refused > 0, "{tokens} tokens, {refused} refused");
 }
