Hold answers and words back for the disk in one gate; implement the log's storage once

Need: read once more, the voters' log had twins. Admission and Voter each counted writes and held back what rests on them; the storage's twenty methods stood once for the log and once more to pass them on; the key of what is decided and its wording stood in two files; a granter worked out the end of a lease in two places; the relays drew a number in two.

Nothing of it is in the node.

--- a/crates/agreement/src/admission.rs
+++ b/crates/agreement/src/admission.rs
@@ -9,9 +9,10 @@
 //! So an old store goes unnoticed only if all who had heard of its latest start are away, or have lost their stores, for as long. To wait for
 //! all without an end would leave three voters without a majority once one has died for good and another is started anew.
 
+use crate::gate::Gate;
 use crate::memory::Change;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What voters say to each other before they vote.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -64,11 +65,10 @@
     /// Ticks since its start was told first.
     waited: u64,
     verdict: Verdict,
-    written: u64,
-    durable: u64,
     /// Its own start's write, until that is durable.
     starting: Option<(u64, u64)>,
-    held: VecDeque<(u64, u64, Say)>,
+    /// Answers, each with to whom.
+    answers: Gate<(u64, Say)>,
 }
 
 /// So many ticks others are waited for who say nothing.
@@ -98,7 +98,7 @@
                 None => {}
             }
         }
-        let mut admission = Self {
+        Self {
             me,
             life,
             voters: voters.to_vec(),
@@ -108,13 +108,9 @@
             seen: BTreeSet::new(),
             waited: 0,
             verdict: Verdict::Wait,
-            written: 0,
-            durable: 0,
-            starting: None,
-            held: VecDeque::new(),
-        };
-        admission.starting = start.map(|start| (0, start + 1));
-        admission
+            starting: start.map(|start| (0, start + 1)),
+            answers: Gate::default(),
+        }
     }
 
     /// What may be done.
@@ -127,10 +123,10 @@
     }
 
     fn write(&mut self, key: Vec<u8>, numbers: &[u64], out: &mut Vec<Act>) -> u64 {
-        self.written += 1;
+        let write = self.answers.write();
         let value = Some(numbers.iter().flat_map(|number| number.to_be_bytes()).collect());
-        out.push(Act::Write(self.written, vec![Change { key, value }]));
-        self.written
+        out.push(Act::Write(write, vec![Change { key, value }]));
+        write
     }
 
     /// It may vote once all have heard, or enough and the others are silent.
@@ -166,12 +162,17 @@
 
     /// All writes up to this one are durable.
     pub fn durable(&mut self, number: u64, out: &mut Vec<Act>) {
-        self.durable = self.durable.max(number);
-        if let Some((_, start)) = self.starting.take_if(|(write, _)| *write > 0 && *write <= self.durable) {
+        self.answers.durable(number);
+        if let Some((_, start)) = self.starting.take_if(|(write, _)| *write > 0 && *write <= number) {
             self.start = Some(start);
             self.tick(out);
         }
-        while let Some((_, to, say)) = self.held.pop_front_if(|(after, ..)| *after <= self.durable) {
+        self.answer(out);
+    }
+
+    /// Gives the answers that may be given.
+    fn answer(&mut self, out: &mut Vec<Act>) {
+        while let Some((to, say)) = self.answers.free() {
             out.push(Act::Say(to, say));
         }
     }
@@ -186,13 +187,13 @@
             Say::Who => out.push(Act::Say(from, Say::Known(known.0))),
             Say::Started(start, life) if start > known.0 => {
                 self.known.insert(from, (start, life));
-                let write = self.write([KNOWN, &from.to_be_bytes()].concat(), &[start, life], out);
-                self.held.push_back((write, from, Say::Seen(start)));
+                self.write([KNOWN, &from.to_be_bytes()].concat(), &[start, life], out);
+                self.answers.hold((from, Say::Seen(start)));
             }
             // Told again: the answer was lost, or its write is under way.
             Say::Started(start, life) if (start, life) == known => {
-                self.held.push_back((self.written, from, Say::Seen(start)));
-                self.durable(self.durable, out);
+                self.answers.hold((from, Say::Seen(start)));
+                self.answer(out);
             }
             Say::Started(start, _) => out.push(Act::Say(from, Say::Old(start))),
             Say::Known(start) => {
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub mod admission;
+mod gate;
 mod memory;
 mod voter;
 
--- a/crates/agreement/src/memory.rs
+++ b/crates/agreement/src/memory.rs
@@ -128,9 +128,22 @@
 /// What is to be written, in its order.
 #[derive(Debug, Default)]
 pub struct Journal {
-    pub changes: Vec<Change>,
+    changes: Vec<Change>,
     /// How far is decided, where that is to be kept: it can be found out again, so it is written with what else is.
-    pub decided: Option<u64>,
+    decided: Option<u64>,
+}
+
+impl Journal {
+    /// What is to be written now; that more is decided is alone no reason to write.
+    pub fn take(&mut self) -> Vec<Change> {
+        let mut changes = std::mem::take(&mut self.changes);
+        if !changes.is_empty()
+            && let Some(upto) = self.decided.take()
+        {
+            changes.push(Change { key: DECIDED.to_vec(), value: Some(bytes(&upto)) });
+        }
+        changes
+    }
 }
 
 /// The log in memory.
@@ -214,6 +227,11 @@
 }
 
 impl<F: Fold> Memory<F> {
+    /// The place behind the last word.
+    fn end(&self) -> usize {
+        self.compacted + self.log.len()
+    }
+
     /// What was folded is decided, whatever was said of it.
     pub fn mend(&mut self) {
         self.decided = self.decided.max(self.compacted);
@@ -221,88 +239,6 @@
 }
 
 impl<F: Fold> Storage<Word<F>> for Shared<F> {
-    fn write_atomically(&mut self, ops: Vec<StorageOp<Word<F>>>) -> StorageResult<()> {
-        self.0.borrow_mut().write_atomically(ops)
-    }
-
-    fn append_entry(&mut self, entry: Word<F>) -> StorageResult<()> {
-        self.0.borrow_mut().append_entry(entry)
-    }
-
-    fn append_entries(&mut self, entries: Vec<Word<F>>) -> StorageResult<()> {
-        self.0.borrow_mut().append_entries(entries)
-    }
-
-    fn append_on_prefix(&mut self, from: usize, entries: Vec<Word<F>>) -> StorageResult<()> {
-        self.0.borrow_mut().append_on_prefix(from, entries)
-    }
-
-    fn set_promise(&mut self, promise: Ballot) -> StorageResult<()> {
-        self.0.borrow_mut().set_promise(promise)
-    }
-
-    fn set_decided_idx(&mut self, index: usize) -> StorageResult<()> {
-        self.0.borrow_mut().set_decided_idx(index)
-    }
-
-    fn get_decided_idx(&self) -> StorageResult<usize> {
-        self.0.borrow().get_decided_idx()
-    }
-
-    fn set_accepted_round(&mut self, round: Ballot) -> StorageResult<()> {
-        self.0.borrow_mut().set_accepted_round(round)
-    }
-
-    fn get_accepted_round(&self) -> StorageResult<Option<Ballot>> {
-        self.0.borrow().get_accepted_round()
-    }
-
-    fn get_entries(&self, from: usize, to: usize) -> StorageResult<Vec<Word<F>>> {
-        self.0.borrow().get_entries(from, to)
-    }
-
-    fn get_log_len(&self) -> StorageResult<usize> {
-        self.0.borrow().get_log_len()
-    }
-
-    fn get_suffix(&self, from: usize) -> StorageResult<Vec<Word<F>>> {
-        self.0.borrow().get_suffix(from)
-    }
-
-    fn get_promise(&self) -> StorageResult<Option<Ballot>> {
-        self.0.borrow().get_promise()
-    }
-
-    fn set_stopsign(&mut self, stop: Option<StopSign>) -> StorageResult<()> {
-        self.0.borrow_mut().set_stopsign(stop)
-    }
-
-    fn get_stopsign(&self) -> StorageResult<Option<StopSign>> {
-        self.0.borrow().get_stopsign()
-    }
-
-    fn trim(&mut self, index: usize) -> StorageResult<()> {
-        self.0.borrow_mut().trim(index)
-    }
-
-    fn set_compacted_idx(&mut self, index: usize) -> StorageResult<()> {
-        self.0.borrow_mut().set_compacted_idx(index)
-    }
-
-    fn get_compacted_idx(&self) -> StorageResult<usize> {
-        self.0.borrow().get_compacted_idx()
-    }
-
-    fn set_snapshot(&mut self, snapshot: Option<Folded<F>>) -> StorageResult<()> {
-        self.0.borrow_mut().set_snapshot(snapshot)
-    }
-
-    fn get_snapshot(&self) -> StorageResult<Option<Folded<F>>> {
-        self.0.borrow().get_snapshot()
-    }
-}
-
-impl<F: Fold> Storage<Word<F>> for Memory<F> {
     fn write_atomically(&mut self, ops: Vec<StorageOp<Word<F>>>) -> StorageResult<()> {
         for op in ops {
             match op {
@@ -322,8 +258,9 @@
     }
 
     fn append_entry(&mut self, entry: Word<F>) -> StorageResult<()> {
-        self.put(&place(self.compacted + self.log.len()), Some(entry.bytes.clone()));
-        self.log.push(entry);
+        let mut memory = self.0.borrow_mut();
+        memory.put(&place(memory.compacted + memory.log.len()), Some(entry.bytes.clone()));
+        memory.log.push(entry);
         Ok(())
     }
 
@@ -332,105 +269,123 @@
     }
 
     fn append_on_prefix(&mut self, from: usize, entries: Vec<Word<F>>) -> StorageResult<()> {
-        let keep = from.saturating_sub(self.compacted);
-        for index in self.compacted + keep + entries.len()..self.compacted + self.log.len() {
-            self.put(&place(index), None);
+        let mut memory = self.0.borrow_mut();
+        let keep = from.saturating_sub(memory.compacted);
+        for index in memory.compacted + keep + entries.len()..memory.compacted + memory.log.len() {
+            memory.put(&place(index), None);
         }
-        self.log.truncate(keep);
+        memory.log.truncate(keep);
+        drop(memory);
         self.append_entries(entries)
     }
 
     fn set_promise(&mut self, promise: Ballot) -> StorageResult<()> {
-        self.promise = Some(promise);
-        self.put(PROMISE, Some(bytes(&promise)));
+        let mut memory = self.0.borrow_mut();
+        memory.promise = Some(promise);
+        memory.put(PROMISE, Some(bytes(&promise)));
         Ok(())
     }
 
     fn set_decided_idx(&mut self, index: usize) -> StorageResult<()> {
-        self.decided = index;
-        self.journal.borrow_mut().decided = Some(index as u64);
+        let mut memory = self.0.borrow_mut();
+        memory.decided = index;
+        memory.journal.borrow_mut().decided = Some(index as u64);
         Ok(())
     }
 
     fn get_decided_idx(&self) -> StorageResult<usize> {
-        Ok(self.decided)
+        let memory = self.0.borrow();
+        Ok(memory.decided)
     }
 
     fn set_accepted_round(&mut self, round: Ballot) -> StorageResult<()> {
-        self.accepted = Some(round);
-        self.put(ACCEPTED, Some(bytes(&round)));
+        let mut memory = self.0.borrow_mut();
+        memory.accepted = Some(round);
+        memory.put(ACCEPTED, Some(bytes(&round)));
         Ok(())
     }
 
     fn get_accepted_round(&self) -> StorageResult<Option<Ballot>> {
-        Ok(self.accepted)
+        let memory = self.0.borrow();
+        Ok(memory.accepted)
     }
 
     fn get_entries(&self, from: usize, to: usize) -> StorageResult<Vec<Word<F>>> {
-        let at = |index: usize| index.saturating_sub(self.compacted).min(self.log.len());
-        let words = self.log.get(at(from)..at(to)).unwrap_or_default();
-        let first = self.compacted + at(from);
+        let memory = self.0.borrow();
+        let at = |index: usize| index.saturating_sub(memory.compacted).min(memory.log.len());
+        let words = memory.log.get(at(from)..at(to)).unwrap_or_default();
+        let first = memory.compacted + at(from);
         Ok(words.iter().zip(first..).map(|(word, at)| Word { at, ..word.clone() }).collect())
     }
 
     fn get_log_len(&self) -> StorageResult<usize> {
-        Ok(self.log.len())
+        let memory = self.0.borrow();
+        Ok(memory.log.len())
     }
 
     fn get_suffix(&self, from: usize) -> StorageResult<Vec<Word<F>>> {
-        self.get_entries(from, self.compacted + self.log.len())
+        let end = self.0.borrow().end();
+        self.get_entries(from, end)
     }
 
     fn get_promise(&self) -> StorageResult<Option<Ballot>> {
-        Ok(self.promise)
+        let memory = self.0.borrow();
+        Ok(memory.promise)
     }
 
     fn set_stopsign(&mut self, stop: Option<StopSign>) -> StorageResult<()> {
-        self.put(STOP, stop.as_ref().map(bytes));
-        self.stop = stop;
+        let mut memory = self.0.borrow_mut();
+        memory.put(STOP, stop.as_ref().map(bytes));
+        memory.stop = stop;
         Ok(())
     }
 
     fn get_stopsign(&self) -> StorageResult<Option<StopSign>> {
-        Ok(self.stop.clone())
+        let memory = self.0.borrow();
+        Ok(memory.stop.clone())
     }
 
     fn trim(&mut self, index: usize) -> StorageResult<()> {
-        let count = index.saturating_sub(self.compacted).min(self.log.len());
-        for index in self.compacted..self.compacted + count {
-            self.put(&place(index), None);
+        let mut memory = self.0.borrow_mut();
+        let count = index.saturating_sub(memory.compacted).min(memory.log.len());
+        for index in memory.compacted..memory.compacted + count {
+            memory.put(&place(index), None);
         }
-        self.log.drain(..count);
+        memory.log.drain(..count);
         Ok(())
     }
 
     fn set_compacted_idx(&mut self, index: usize) -> StorageResult<()> {
-        self.compacted = index;
+        let mut memory = self.0.borrow_mut();
+        memory.compacted = index;
         Ok(())
     }
 
     fn get_compacted_idx(&self) -> StorageResult<usize> {
-        Ok(self.compacted)
+        let memory = self.0.borrow();
+        Ok(memory.compacted)
     }
 
     fn set_snapshot(&mut self, snapshot: Option<Folded<F>>) -> StorageResult<()> {
+        let mut memory = self.0.borrow_mut();
         // Folded here, so that it does not grow with the log.
-        self.snapshot = match snapshot {
+        memory.snapshot = match snapshot {
             Some(snapshot) => {
                 let short = "a snapshot that does not reach to where the log begins";
-                Some(snapshot.upto(self.compacted).ok_or(short)?)
+                Some(snapshot.upto(memory.compacted).ok_or(short)?)
             }
             None => None,
         };
-        let value = self.snapshot.as_ref().map(|state| bytes(&(self.compacted as u64, state)));
-        self.put(SNAPSHOT, value);
+        let value = memory.snapshot.as_ref().map(|state| bytes(&(memory.compacted as u64, state)));
+        memory.put(SNAPSHOT, value);
         Ok(())
     }
 
     fn get_snapshot(&self) -> StorageResult<Option<Folded<F>>> {
-        Ok(self.snapshot.clone().map(|state| Folded {
+        let memory = self.0.borrow();
+        Ok(memory.snapshot.clone().map(|state| Folded {
             base: Some(state),
-            from: self.compacted,
+            from: memory.compacted,
             words: Vec::new(),
         }))
     }
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -1,12 +1,12 @@
 //! One voter.
 
 use crate::Fold;
+use crate::gate::Gate;
 use crate::memory::{Change, Damage, Journal, Memory, Shared, Word};
 use omnipaxos::messages::Message;
 use omnipaxos::util::LogEntry;
 use omnipaxos::{ClusterConfig, OmniPaxos, ServerConfig};
 use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::fmt;
 use std::marker::PhantomData;
 use std::rc::Rc;
@@ -63,7 +63,6 @@
 
 /// What may be told once a write is durable.
 struct Held<F> {
-    after: u64,
     messages: Vec<(u64, Vec<u8>)>,
     decided: Vec<Found<F>>,
 }
@@ -83,10 +82,7 @@
     /// How often the library has lost its way.
     begun_anew: u64,
     journal: Rc<RefCell<Journal>>,
-    /// The number of the latest write, and of the latest that is durable.
-    written: u64,
-    durable: u64,
-    held: VecDeque<Held<F>>,
+    gate: Gate<Held<F>>,
     /// How far has been read of what is decided, and how far it has been told.
     read: usize,
     told: usize,
@@ -119,7 +115,6 @@
         let memory = Shared(Rc::new(RefCell::new(Memory::restore(kept, journal.clone())?)));
         let paxos = begin(me, voters, memory.again())?;
         let voters = voters.to_vec();
-        let held = VecDeque::new();
         let state = F::default();
         let mut voter = Self {
             me,
@@ -128,9 +123,7 @@
             memory,
             begun_anew: 0,
             journal,
-            written: 0,
-            durable: 0,
-            held,
+            gate: Gate::default(),
             read: 0,
             told: 0,
             state,
@@ -176,7 +169,7 @@
     /// A tick: they come evenly, some ten a second.
     pub fn tick(&mut self, out: &mut Vec<Out>) {
         // One whose disk does not come to an end says nothing new meanwhile: others will see to it.
-        if self.held.len() < MOST_HELD {
+        if self.gate.held() < MOST_HELD {
             self.paxos.tick();
             self.astray = if self.leader().is_some_and(|(_, follows)| follows) { 0 } else { self.astray + 1 };
             if self.astray == 0 {
@@ -195,7 +188,7 @@
         if message.get_receiver() != self.me {
             return false;
         }
-        if self.held.len() < MOST_HELD {
+        if self.gate.held() < MOST_HELD {
             self.paxos.handle_incoming(message);
         }
         self.pass(out);
@@ -218,7 +211,7 @@
         if word.len() > MOST_WORD {
             return Err(Refused::Long);
         }
-        if self.held.len() >= MOST_HELD {
+        if self.gate.held() >= MOST_HELD {
             return Err(Refused::Busy);
         }
         if self.leader().is_none() {
@@ -231,7 +224,7 @@
 
     /// All writes up to this one are durable.
     pub fn durable(&mut self, number: u64, out: &mut Vec<Out>) {
-        self.durable = self.durable.max(number);
+        self.gate.durable(number);
         self.release(out);
     }
 
@@ -258,23 +251,16 @@
             // A refusal leaves all as it is.
             let _ = self.paxos.snapshot(Some(self.told), true);
         }
-        let mut journal = self.journal.borrow_mut();
-        if !journal.changes.is_empty() {
-            let mut changes = std::mem::take(&mut journal.changes);
-            if let Some(upto) = journal.decided.take() {
-                let value = postcard::to_stdvec(&upto).unwrap_or_default();
-                changes.push(Change { key: b"a/decided".to_vec(), value: Some(value) });
-            }
-            self.written += 1;
-            out.push(Out::Write(self.written, changes));
+        let changes = self.journal.borrow_mut().take();
+        if !changes.is_empty() {
+            out.push(Out::Write(self.gate.write(), changes));
         }
-        drop(journal);
         if !messages.is_empty() || !decided.is_empty() {
             let word = |message: &Message<Word<F>>| {
                 (message.get_receiver(), postcard::to_stdvec(message).unwrap_or_default())
             };
             let messages = messages.iter().map(word).collect();
-            self.held.push_back(Held { after: self.written, messages, decided });
+            self.gate.hold(Held { messages, decided });
         }
         self.release(out);
     }
@@ -302,7 +288,7 @@
     }
 
     fn release(&mut self, out: &mut Vec<Out>) {
-        while let Some(held) = self.held.pop_front_if(|held| held.after <= self.durable) {
+        while let Some(held) = self.gate.free() {
             for found in held.decided {
                 match found {
                     Found::Word(word) => {
--- a/crates/duties/src/granter.rs
+++ b/crates/duties/src/granter.rs
@@ -45,14 +45,16 @@
         }
     }
 
+    /// When a lease of this many renewals that was seen then is to be put to the log as over.
+    fn over(&self, name: &str, renewals: u64, since: u64) -> u64 {
+        let proposed = self.proposed.get(name).filter(|(of, _)| *of == renewals);
+        (since + self.times.granter()).max(proposed.map_or(0, |(_, at)| at + AGAIN))
+    }
+
     /// When it is to be asked next, while it leads.
     pub fn next(&self) -> Option<u64> {
-        let first = self.seen.iter().map(|(name, (_, renewals, since))| {
-            let again =
-                self.proposed.get(name).filter(|(of, _)| of == renewals).map_or(0, |(_, at)| at + AGAIN);
-            (since + self.times.granter()).max(again)
-        });
-        first.min().filter(|_| self.leads)
+        let all = self.seen.iter().filter(|_| self.leads);
+        all.map(|(name, (_, renewals, since))| self.over(name, *renewals, *since)).min()
     }
 
     /// The leases that are over, to be put to the log.
@@ -60,13 +62,10 @@
         if !self.leads {
             return None;
         }
-        let mut over = Vec::new();
-        for (name, (token, renewals, since)) in &self.seen {
-            let again = self.proposed.get(name).is_none_or(|(of, at)| of != renewals || now >= at + AGAIN);
-            if since + self.times.granter() <= now && again {
-                over.push((name.clone(), *token, *renewals));
-            }
-        }
+        let all =
+            self.seen.iter().filter(|(name, (_, renewals, since))| self.over(name, *renewals, *since) <= now);
+        let over: Vec<(String, Token, u64)> =
+            all.map(|(name, (token, renewals, _))| (name.clone(), *token, *renewals)).collect();
         for (name, _, renewals) in &over {
             self.proposed.insert(name.clone(), (*renewals, now));
         }
--- a/crates/faults/src/net.rs
+++ b/crates/faults/src/net.rs
@@ -49,6 +49,11 @@
     }
 }
 
+/// A number from 0 up to 1.
+fn uniform(draws: &mut Pcg64Mcg) -> f64 {
+    (draws.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
 type Links = Arc<Mutex<HashMap<(usize, usize), Link>>>;
 
 /// The network between so many nodes.
@@ -165,10 +170,6 @@
         }
     }
 
-    fn uniform(&mut self) -> f64 {
-        (self.draws.next_u64() >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     fn take(&mut self, bytes: &[u8], from: SocketAddr) {
         // Who is no node of this network reaches it without faults.
         let link = self
@@ -177,12 +178,12 @@
             .map(|from| (*from, self.to))
             .and_then(|way| self.links.lock().unwrap_or_else(PoisonError::into_inner).get(&way).copied());
         let link = link.unwrap_or_default();
-        if link.cut || self.uniform() < link.loss {
+        if link.cut || uniform(&mut self.draws) < link.loss {
             return;
         }
-        let times = if self.uniform() < link.twice { 2 } else { 1 };
+        let times = if uniform(&mut self.draws) < link.twice { 2 } else { 1 };
         for _ in 0..times {
-            let way = link.late.mul_f64(self.uniform());
+            let way = link.late.mul_f64(uniform(&mut self.draws));
             self.late.push((Instant::now() + way, bytes.to_vec()));
         }
     }
@@ -257,10 +258,6 @@
         }
     }
 
-    fn uniform(&mut self) -> f64 {
-        (self.draws.next_u64() >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     fn carry(mut self, mut from: TcpStream, mut to: TcpStream) {
         let _ = from.set_read_timeout(Some(LOOK));
         let mut bytes = [0; 4096];
@@ -283,10 +280,10 @@
             if link.slow > 0 {
                 thread::sleep(Duration::from_secs_f64(size as f64 / f64::from(link.slow)));
             }
-            let way = link.late.mul_f64(self.uniform());
+            let way = link.late.mul_f64(uniform(&mut self.draws));
             thread::sleep(way);
-            if self.uniform() < link.torn {
-                let part = (self.uniform() * size as f64) as usize;
+            if uniform(&mut self.draws) < link.torn {
+                let part = (uniform(&mut self.draws) * size as f64) as usize;
                 let _ = to.write_all(&bytes[..part]);
                 let _ = (to.shutdown(Shutdown::Both), from.shutdown(Shutdown::Both));
                 return;
