Have one job in twenty go to a worker not heard of: one was never drawn beside others with room

Seen: tests/operations failed in 1 of 12 runs beside eight busy loops ('it is never drawn', after 20 s); with told time, on the settings of that test, a worker got nothing in 20 s in 121 of 400 seeds.

Checked: the decisions alone, without sockets, show it, so no late dial and no ejection is in it (ruled out: nothing fails there). At fault is place() in src/policy.rs: the draw is limited to workers known to have room where there are any, and 'known' wants a report of late, which only a job brings. Where the first six jobs miss a worker (3/4 to the sixth, 0.18) and the others always have room, it stays unheard for ever. A busy machine only made the test notice.

Change: where others have room, one job in twenty is drawn among the workers not heard of that hold no job of this node.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,6 +19,7 @@
 const OTHERS: f64 = 0.3; // weight of a new report in what others hold there: it is old and noisy
 const OLD: f64 = 4.0; // by e in this time what others hold there is taken for the mean
 const HEARD: f64 = 4.0; // a worker not heard of for longer is not known to have room
+const BLIND: f64 = 0.05; // of the jobs that others are known to have room for go to a worker not heard of
 const FRESH: f64 = 0.5; // up to this age a worker counts as just heard of, where others could be asked
 const SMOOTH: f64 = 0.1; // weight of a new figure in the smoothed ones: some ten make a mean
 const RUN_MOST: f64 = 2.0; // of its own work: what a job takes beyond that it has waited
@@ -415,6 +416,12 @@
         let takes = |w: usize| trust && self.accepts(&workers[w], of) >= TRUST;
         let roomy = |w: &&usize| takes(**w) && self.room(&workers[**w], r);
         let mut best: Vec<usize> = wide.iter().filter(roomy).copied().collect();
+        // Danger: one that nothing was ever sent to is not heard of, so it would never be drawn.
+        let since = self.now - HEARD * self.known.usual;
+        let unheard = |w: &usize| workers[*w].own.is_empty() && !workers[*w].told_since(since);
+        if !best.is_empty() && wide.iter().any(unheard) && self.rng.uniform() < BLIND {
+            best = wide.iter().copied().filter(unheard).collect();
+        }
         // Exception: own zone first where crossing has a price, while it isn't much more loaded. Danger: a
         // dispatcher with few jobs never hears of the other zones, and all that hold a zone full stay in it.
         let zone = self.known.zone_load.get(&self.set.zone).copied().unwrap_or(0.0);
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -349,7 +349,7 @@
     let mut process = bed.start();
     let load = Load::start(bed.address, 6);
     load.more(60);
-    // Seen on a busy machine: none of the first 65 went to it, for no cause that was found.
+    // The first six may all go to others, which are then known to have room: one job in twenty goes to one not heard of.
     assert!(postproxy_faults::wait(LIMIT, || bed.run_by(0) > 0), "it is never drawn");
     assert_eq!(process.post("/v1/route-workers/nobody/suspend"), 404);
     assert_eq!(process.post("/v1/route-workers/s-0/suspend"), 200);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use postproxy::{Action, Entry, Event, Health, ListKind, NewRequest, Note, Outcome, RequestId};
+use postproxy::{Action, Dispatcher, Entry, Event, Health, ListKind, NewRequest, Note, Outcome, RequestId};
 use std::collections::BTreeMap;
 
 /// Sends `count` safe requests, one by one, each ended at once without a report; counts the choices.
@@ -766,3 +766,29 @@
     assert!((60..=200).contains(&asked.len()), "{} calls", asked.len());
     assert!(asked.windows(2).all(|pair| pair[1] - pair[0] <= 10.0), "{asked:?}");
 }
+
+/// Guards against a worker that is never drawn for want of a report, which only a job could bring, while the others are known
+/// to have room. Six clients, each with one job after another; seen in 121 of 400 seeds: nothing in 20 s.
+#[test]
+fn a_worker_not_heard_of_is_drawn_beside_others_with_room() {
+    for seed in 0..40 {
+        let mut bed = Bed::new(settings(|_| ()), 0);
+        bed.dispatcher = Dispatcher::new(settings(|_| ()), seed).expect("sound settings");
+        bed.list(ListKind::Full, (0..4).map(entry).collect());
+        let (mut first, mut running) = ([None; 4], Vec::<(f64, RequestId, _)>::new());
+        for request in 0..400 {
+            // The job that ends first makes place for the next one.
+            if running.len() == 6 {
+                let next = (0..6).min_by(|a, b| running[*a].0.total_cmp(&running[*b].0)).unwrap_or(0);
+                let (at, id, to) = running.swap_remove(next);
+                bed.now = at;
+                bed.answer(id, 0, to, Outcome::Ok, vec![0.0, 4.0]);
+            }
+            let [to] = sends(&bed.request(request, 0))[..] else { panic!("seed {seed}: held") };
+            let n = usize::from(to.address[3]);
+            first[n].get_or_insert(request);
+            running.push((bed.now + 0.015 + 0.04 * n as f64, request, to));
+        }
+        assert!(first.iter().all(Option::is_some), "seed {seed}: first jobs {first:?}");
+    }
+}
