--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -1,4 +1,4 @@
-//! One order of words among voters, and what comes of it. The log is `omnipaxos`'; this wraps it so that nothing is said to
+//! One order of words among voters, and what comes of it. The log is that of `raft`; this wraps it so that nothing is said to
 //! anybody, and nothing is taken for decided, before what it rests on is durable.
 //!
 //! [`Voter`] has no socket, disk or clock: it is told messages, ticks and which writes are durable, and says what to send,
@@ -13,13 +13,13 @@
 mod voter;
 
 pub use memory::{Change, Damage};
-pub use voter::{MOST_WORD, Out, Refused, Voter};
+pub use voter::{MOST_SEATS, MOST_WORD, Out, Refused, Seating, Voter};
 
 use serde::{Deserialize, Serialize};
 use std::fmt::Debug;
 
 /// What the words of the log come to: the same at every voter, whatever else is so there.
-pub trait Fold: Clone + Debug + Default + Serialize + for<'a> Deserialize<'a> {
+pub trait Fold: Clone + Debug + Default + PartialEq + Serialize + for<'a> Deserialize<'a> {
     /// The next word.
     fn apply(&mut self, word: &[u8]);
 }
--- a/crates/agreement/src/memory.rs
+++ b/crates/agreement/src/memory.rs
@@ -1,84 +1,10 @@
 //! The log as it is in memory, with each change noted as it is to be kept.
 
 use crate::Fold;
-use omnipaxos::ballot_leader_election::Ballot;
-use omnipaxos::storage::{Entry, Snapshot, StopSign, Storage, StorageOp, StorageResult};
+use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
+use raft::{Error, GetEntriesContext, RaftState, Result, Storage, StorageError};
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
-use std::fmt;
-use std::marker::PhantomData;
-use std::rc::Rc;
-
-/// A word of the log.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(bound = "")]
-pub struct Word<F> {
-    pub bytes: Vec<u8>,
-    /// Its place, from 0, where it was read from the log.
-    #[serde(skip)]
-    pub at: usize,
-    #[serde(skip)]
-    pub of: PhantomData<F>,
-}
-
-/// What words come to: a state, and the words after it, from that place on.
-///
-/// Why the words are not folded in at once: `omnipaxos` 0.2.4 makes the snapshot that a delta is merged into from its own log as far as
-/// it is *told* to be decided (`sync_log` sets the index before it asks for the snapshot), so that it holds words which the
-/// delta has too, or that were never decided. The delta says where it begins; what is there beyond gives way to it.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(bound = "")]
-pub struct Folded<F: Fold> {
-    /// What all words before the first of these come to; none in a delta.
-    base: Option<F>,
-    from: usize,
-    words: Vec<Vec<u8>>,
-}
-
-impl<F: Fold> Folded<F> {
-    /// What the words up to this place come to; none if it does not reach so far, or from the first.
-    pub fn upto(self, place: usize) -> Option<F> {
-        let mut state = match self.base {
-            Some(state) => state,
-            None if self.from == 0 => F::default(),
-            None => return None,
-        };
-        let count = place.checked_sub(self.from).filter(|count| *count <= self.words.len())?;
-        self.words[..count].iter().for_each(|word| state.apply(word));
-        Some(state)
-    }
-}
-
-impl<F: Fold> Entry for Word<F> {
-    type Snapshot = Folded<F>;
-}
-
-impl<F: Fold> Snapshot<Word<F>> for Folded<F> {
-    fn create(entries: &[Word<F>]) -> Self {
-        let from = entries.first().map_or(0, |word| word.at);
-        Self { base: None, from, words: entries.iter().map(|word| word.bytes.clone()).collect() }
-    }
-
-    fn merge(&mut self, delta: Self) {
-        if delta.base.is_some() || delta.from == 0 && !delta.words.is_empty() {
-            *self = delta;
-        } else {
-            // It may begin before, where this one was folded since it was asked for.
-            let known = self.from.saturating_sub(delta.from).min(delta.words.len());
-            let from = delta.from + known;
-            let keep = from.saturating_sub(self.from);
-            // One that begins beyond is none of this: what is short is found out when it is folded.
-            if known < delta.words.len() && keep <= self.words.len() {
-                self.words.truncate(keep);
-                self.words.extend(delta.words.into_iter().skip(known));
-            }
-        }
-    }
-
-    fn use_snapshots() -> bool {
-        true
-    }
-}
+use std::collections::BTreeMap;
 
 /// A change of what is kept: a key, and its value or none any more.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -90,303 +16,271 @@
 }
 
 /// What was kept can't be gone by.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the log of the voters: {0}")]
 pub struct Damage(pub String);
 
-impl fmt::Display for Damage {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "the log of the voters: {}", self.0)
-    }
-}
-
-impl std::error::Error for Damage {}
-
+/// Where the log of founders begins: a place that is folded from the start, so that who is added later gets a state, never a
+/// log from its first word without the voters that it began with.
+pub const FOUNDED: u64 = 1;
 const LOG: &[u8] = b"a/l/";
-const PROMISE: &[u8] = b"a/promise";
-const ACCEPTED: &[u8] = b"a/accepted";
-const DECIDED: &[u8] = b"a/decided";
-const STOP: &[u8] = b"a/stop";
-/// How many words are folded, and what they come to: in one value, so that one can't be kept without the other.
-const SNAPSHOT: &[u8] = b"a/snapshot";
-
-fn place(index: usize) -> Vec<u8> {
-    [LOG, &(index as u64).to_be_bytes()].concat()
+const HARD: &[u8] = b"a/hard";
+/// What is folded, and where the log begins: in one value, so that one can't be kept without the other.
+const FOLDED: &[u8] = b"a/folded";
+/// So many words stay in the log when others are folded, for who is a little behind.
+const TAIL: u64 = 64;
+
+fn place(index: u64) -> Vec<u8> {
+    [LOG, &index.to_be_bytes()].concat()
 }
 
-fn bytes<T: Serialize>(value: &T) -> Vec<u8> {
-    // Writing to memory fails at nothing but its end.
-    postcard::to_stdvec(value).unwrap_or_default()
+/// What all entries up to a place come to.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(bound = "")]
+pub struct Folded<F: Fold> {
+    pub state: F,
+    /// How many words that is: the library's own entries are none.
+    pub words: u64,
+    /// Who votes: the number of each seat, and the node that has it.
+    pub seats: BTreeMap<u64, String>,
+    /// The highest number that a seat ever had: none is given twice.
+    pub highest: u64,
 }
 
-fn read<'a, T: Deserialize<'a>>(what: &str, value: &'a [u8]) -> Result<T, Damage> {
-    match postcard::take_from_bytes(value) {
-        Ok((read, [])) => Ok(read),
-        _ => Err(Damage(format!("{what} can't be read"))),
-    }
+/// How `Folded` is kept.
+#[derive(Deserialize, Serialize)]
+#[serde(bound = "")]
+struct Kept<F: Fold> {
+    index: u64,
+    term: u64,
+    compacted: (u64, u64),
+    voters: Vec<u8>,
+    folded: Folded<F>,
 }
 
-/// What is to be written, in its order.
-#[derive(Debug, Default)]
-pub struct Journal {
+/// The log in memory.
+#[derive(Debug)]
+pub struct Memory<F: Fold> {
+    log: Vec<Entry>,
+    /// The last place that is no more in the log, and its term.
+    compacted: (u64, u64),
+    pub hard: HardState,
+    pub voters: ConfState,
+    /// What has been applied, up to this place.
+    pub applied: u64,
+    pub folded: Folded<F>,
     changes: Vec<Change>,
-    /// How far is decided, where that is to be kept: it can be found out again, so it is written with what else is.
-    decided: Option<u64>,
 }
 
-impl Journal {
-    /// What is to be written now; that more is decided is alone no reason to write.
-    pub fn take(&mut self) -> Vec<Change> {
-        let mut changes = std::mem::take(&mut self.changes);
-        if !changes.is_empty()
-            && let Some(upto) = self.decided.take()
-        {
-            changes.push(Change { key: DECIDED.to_vec(), value: Some(bytes(&upto)) });
-        }
-        changes
-    }
+fn bytes(message: &impl protobuf::Message) -> Vec<u8> {
+    // Writing to memory fails at nothing but its end.
+    message.write_to_bytes().unwrap_or_default()
 }
 
-/// The log in memory.
-#[derive(Debug)]
-pub struct Memory<F: Fold> {
-    log: Vec<Word<F>>,
-    compacted: usize,
-    decided: usize,
-    promise: Option<Ballot>,
-    accepted: Option<Ballot>,
-    stop: Option<StopSign>,
-    snapshot: Option<F>,
-    journal: Rc<RefCell<Journal>>,
+fn read<M: protobuf::Message>(what: &str, value: &[u8]) -> std::result::Result<M, Damage> {
+    M::parse_from_bytes(value).map_err(|_| Damage(format!("{what} can't be read")))
 }
 
 impl<F: Fold> Memory<F> {
-    /// As it was kept; with nothing kept, empty.
+    /// As it was kept. With nothing kept, the founders'; with no founders, that of one who waits to be told.
     pub fn restore(
+        founders: &BTreeMap<u64, String>,
         kept: impl IntoIterator<Item = (Vec<u8>, Vec<u8>)>,
-        journal: Rc<RefCell<Journal>>,
-    ) -> Result<Self, Damage> {
-        let (log, snapshot) = (Vec::new(), None);
+    ) -> std::result::Result<Self, Damage> {
         let mut memory = Self {
-            log,
-            compacted: 0,
-            decided: 0,
-            promise: None,
-            accepted: None,
-            stop: None,
-            snapshot,
-            journal,
+            log: Vec::new(),
+            compacted: (0, 0),
+            hard: HardState::default(),
+            voters: ConfState::default(),
+            applied: 0,
+            folded: Folded::default(),
+            changes: Vec::new(),
         };
-        let mut words: Vec<(usize, Vec<u8>)> = Vec::new();
+        let (mut words, mut any) = (BTreeMap::new(), false);
         for (key, value) in kept {
+            any = true;
             if let Some(index) = key.strip_prefix(LOG) {
                 let index = index.try_into().map_err(|_| Damage("a place has no number".into()))?;
-                words.push((u64::from_be_bytes(index) as usize, value));
+                words.insert(u64::from_be_bytes(index), read::<Entry>("a word", &value)?);
                 continue;
             }
             match &key[..] {
-                PROMISE => memory.promise = Some(read("the promise", &value)?),
-                ACCEPTED => memory.accepted = Some(read("the round", &value)?),
-                DECIDED => memory.decided = read::<u64>("what is decided", &value)? as usize,
-                STOP => memory.stop = Some(read("the stop", &value)?),
-                SNAPSHOT => {
-                    let (upto, state): (u64, F) = read("the snapshot", &value)?;
-                    (memory.compacted, memory.snapshot) = (upto as usize, Some(state));
+                HARD => memory.hard = read("the promise", &value)?,
+                FOLDED => {
+                    let Ok((kept, [])) = postcard::take_from_bytes::<Kept<F>>(&value) else {
+                        return Err(Damage("what is folded can't be read".into()));
+                    };
+                    memory.voters = read("the voters", &kept.voters)?;
+                    (memory.applied, memory.compacted, memory.folded) =
+                        (kept.index, kept.compacted, kept.folded);
+                    if kept.index < kept.compacted.0 || memory.voters.get_voters().is_empty() {
+                        return Err(Damage("what is folded contradicts itself".into()));
+                    }
                 }
                 key => return Err(Damage(format!("{} is nothing of it", String::from_utf8_lossy(key)))),
             }
         }
-        words.sort_unstable_by_key(|(index, _)| *index);
-        for (index, bytes) in words {
-            let next = memory.compacted + memory.log.len();
-            if index != next {
+        if !any && !founders.is_empty() {
+            memory.found(founders);
+        }
+        for (index, entry) in words {
+            let next = memory.last() + 1;
+            if index != next || entry.index != index {
                 return Err(Damage(format!("place {next} is missing: {index} is the next that is there")));
             }
-            memory.log.push(Word { bytes, at: index, of: PhantomData });
+            memory.log.push(entry);
         }
-        memory.decided = memory.decided.max(memory.compacted);
-        if memory.decided > memory.compacted + memory.log.len() + usize::from(memory.stop.is_some()) {
+        if memory.applied > memory.last() || memory.hard.commit > memory.last() {
             return Err(Damage("more is decided than is there".into()));
         }
         Ok(memory)
     }
 
-    fn put(&self, key: &[u8], value: Option<Vec<u8>>) {
-        self.journal.borrow_mut().changes.push(Change { key: key.to_vec(), value });
+    fn found(&mut self, founders: &BTreeMap<u64, String>) {
+        (self.compacted, self.applied) = ((FOUNDED, FOUNDED), FOUNDED);
+        self.voters.set_voters(founders.keys().copied().collect());
+        self.hard.set_term(FOUNDED);
+        self.hard.set_commit(FOUNDED);
+        self.folded.seats = founders.clone();
+        self.folded.highest = founders.keys().copied().max().unwrap_or_default();
+        self.keep_folded();
+        self.keep_hard(self.hard.clone());
     }
-}
-
-/// The log, which the library has one hand on and the voter another: should the library lose its way, it begins anew from it.
-#[derive(Debug)]
-pub struct Shared<F: Fold>(pub Rc<RefCell<Memory<F>>>);
 
-impl<F: Fold> Shared<F> {
-    /// Another hand on the same.
-    pub fn again(&self) -> Self {
-        Self(self.0.clone())
+    fn put(&mut self, key: &[u8], value: Option<Vec<u8>>) {
+        self.changes.push(Change { key: key.to_vec(), value });
     }
-}
 
-impl<F: Fold> Memory<F> {
-    /// The place behind the last word.
-    fn end(&self) -> usize {
-        self.compacted + self.log.len()
+    /// What is to be written now.
+    pub fn take(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
     }
 
-    /// What was folded is decided, whatever was said of it.
-    pub fn mend(&mut self) {
-        self.decided = self.decided.max(self.compacted);
+    /// The last place.
+    fn last(&self) -> u64 {
+        self.compacted.0 + self.log.len() as u64
     }
-}
 
-impl<F: Fold> Storage<Word<F>> for Shared<F> {
-    fn write_atomically(&mut self, ops: Vec<StorageOp<Word<F>>>) -> StorageResult<()> {
-        for op in ops {
-            match op {
-                StorageOp::AppendEntry(entry) => self.append_entry(entry)?,
-                StorageOp::AppendEntries(entries) => self.append_entries(entries)?,
-                StorageOp::AppendOnPrefix(from, entries) => self.append_on_prefix(from, entries)?,
-                StorageOp::SetPromise(promise) => self.set_promise(promise)?,
-                StorageOp::SetDecidedIndex(index) => self.set_decided_idx(index)?,
-                StorageOp::SetAcceptedRound(round) => self.set_accepted_round(round)?,
-                StorageOp::SetCompactedIdx(index) => self.set_compacted_idx(index)?,
-                StorageOp::Trim(index) => self.trim(index)?,
-                StorageOp::SetStopsign(stop) => self.set_stopsign(stop)?,
-                StorageOp::SetSnapshot(snapshot) => self.set_snapshot(snapshot)?,
-            }
-        }
-        Ok(())
+    /// Words in memory.
+    pub fn length(&self) -> usize {
+        self.log.len()
     }
 
-    fn append_entry(&mut self, entry: Word<F>) -> StorageResult<()> {
-        let mut memory = self.0.borrow_mut();
-        memory.put(&place(memory.compacted + memory.log.len()), Some(entry.bytes.clone()));
-        memory.log.push(entry);
-        Ok(())
+    pub fn keep_hard(&mut self, hard: HardState) {
+        self.put(HARD, Some(bytes(&hard)));
+        self.hard = hard;
     }
 
-    fn append_entries(&mut self, entries: Vec<Word<F>>) -> StorageResult<()> {
-        entries.into_iter().try_for_each(|entry| self.append_entry(entry))
+    fn keep_folded(&mut self) {
+        let kept = Kept {
+            index: self.applied,
+            term: self.term(self.applied).unwrap_or_default(),
+            compacted: self.compacted,
+            voters: bytes(&self.voters),
+            folded: self.folded.clone(),
+        };
+        self.put(FOLDED, Some(postcard::to_stdvec(&kept).unwrap_or_default()));
     }
 
-    fn append_on_prefix(&mut self, from: usize, entries: Vec<Word<F>>) -> StorageResult<()> {
-        let mut memory = self.0.borrow_mut();
-        let keep = from.saturating_sub(memory.compacted);
-        for index in memory.compacted + keep + entries.len()..memory.compacted + memory.log.len() {
-            memory.put(&place(index), None);
+    /// Takes in entries, which go before what is there from the first of them on.
+    pub fn append(&mut self, entries: Vec<Entry>) {
+        let Some(first) = entries.first().map(|entry| entry.index) else { return };
+        let keep = first.saturating_sub(self.compacted.0 + 1);
+        for index in first + entries.len() as u64..=self.last() {
+            self.put(&place(index), None);
+        }
+        self.log.truncate(keep as usize);
+        for entry in entries {
+            self.put(&place(entry.index), Some(bytes(&entry)));
+            self.log.push(entry);
         }
-        memory.log.truncate(keep);
-        drop(memory);
-        self.append_entries(entries)
-    }
-
-    fn set_promise(&mut self, promise: Ballot) -> StorageResult<()> {
-        let mut memory = self.0.borrow_mut();
-        memory.promise = Some(promise);
-        memory.put(PROMISE, Some(bytes(&promise)));
-        Ok(())
-    }
-
-    fn set_decided_idx(&mut self, index: usize) -> StorageResult<()> {
-        let mut memory = self.0.borrow_mut();
-        memory.decided = index;
-        memory.journal.borrow_mut().decided = Some(index as u64);
-        Ok(())
-    }
-
-    fn get_decided_idx(&self) -> StorageResult<usize> {
-        let memory = self.0.borrow();
-        Ok(memory.decided)
-    }
-
-    fn set_accepted_round(&mut self, round: Ballot) -> StorageResult<()> {
-        let mut memory = self.0.borrow_mut();
-        memory.accepted = Some(round);
-        memory.put(ACCEPTED, Some(bytes(&round)));
-        Ok(())
-    }
-
-    fn get_accepted_round(&self) -> StorageResult<Option<Ballot>> {
-        let memory = self.0.borrow();
-        Ok(memory.accepted)
-    }
-
-    fn get_entries(&self, from: usize, to: usize) -> StorageResult<Vec<Word<F>>> {
-        let memory = self.0.borrow();
-        let at = |index: usize| index.saturating_sub(memory.compacted).min(memory.log.len());
-        let words = memory.log.get(at(from)..at(to)).unwrap_or_default();
-        let first = memory.compacted + at(from);
-        Ok(words.iter().zip(first..).map(|(word, at)| Word { at, ..word.clone() }).collect())
-    }
-
-    fn get_log_len(&self) -> StorageResult<usize> {
-        let memory = self.0.borrow();
-        Ok(memory.log.len())
     }
 
-    fn get_suffix(&self, from: usize) -> StorageResult<Vec<Word<F>>> {
-        let end = self.0.borrow().end();
-        self.get_entries(from, end)
+    /// Takes a state in place of all that is there; `false` if it can't be read.
+    pub fn take_over(&mut self, snapshot: &Snapshot) -> bool {
+        let Ok((folded, [])) = postcard::take_from_bytes::<Folded<F>>(snapshot.get_data()) else {
+            return false;
+        };
+        let meta = snapshot.get_metadata();
+        for index in self.compacted.0 + 1..=self.last() {
+            self.put(&place(index), None);
+        }
+        self.log.clear();
+        (self.compacted, self.applied) = ((meta.index, meta.term), meta.index);
+        self.voters = meta.get_conf_state().clone();
+        self.folded = folded;
+        self.keep_folded();
+        true
     }
 
-    fn get_promise(&self) -> StorageResult<Option<Ballot>> {
-        let memory = self.0.borrow();
-        Ok(memory.promise)
+    /// Folds what has been applied, and lets all but the last words go.
+    pub fn compact(&mut self) {
+        let upto = self.applied.saturating_sub(TAIL).max(self.compacted.0);
+        let Ok(term) = self.term(upto) else { return };
+        for index in self.compacted.0 + 1..=upto {
+            self.put(&place(index), None);
+        }
+        self.log.drain(..(upto - self.compacted.0) as usize);
+        self.compacted = (upto, term);
+        self.keep_folded();
     }
 
-    fn set_stopsign(&mut self, stop: Option<StopSign>) -> StorageResult<()> {
-        let mut memory = self.0.borrow_mut();
-        memory.put(STOP, stop.as_ref().map(bytes));
-        memory.stop = stop;
-        Ok(())
+    /// Whether so many words have been applied since they were folded last that it is time.
+    pub fn grown(&self, fold: u64) -> bool {
+        self.applied >= self.compacted.0 + TAIL + fold
     }
+}
 
-    fn get_stopsign(&self) -> StorageResult<Option<StopSign>> {
-        let memory = self.0.borrow();
-        Ok(memory.stop.clone())
+impl<F: Fold> Storage for Memory<F> {
+    fn initial_state(&self) -> Result<RaftState> {
+        Ok(RaftState::new(self.hard.clone(), self.voters.clone()))
     }
 
-    fn trim(&mut self, index: usize) -> StorageResult<()> {
-        let mut memory = self.0.borrow_mut();
-        let count = index.saturating_sub(memory.compacted).min(memory.log.len());
-        for index in memory.compacted..memory.compacted + count {
-            memory.put(&place(index), None);
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        most: impl Into<Option<u64>>,
+        _: GetEntriesContext,
+    ) -> Result<Vec<Entry>> {
+        if low <= self.compacted.0 {
+            return Err(Error::Store(StorageError::Compacted));
         }
-        memory.log.drain(..count);
-        Ok(())
+        let at = |index: u64| (index - self.compacted.0 - 1) as usize;
+        let all = self.log.get(at(low)..at(high)).ok_or(Error::Store(StorageError::Unavailable))?;
+        let mut entries = all.to_vec();
+        raft::util::limit_size(&mut entries, most.into());
+        Ok(entries)
     }
 
-    fn set_compacted_idx(&mut self, index: usize) -> StorageResult<()> {
-        let mut memory = self.0.borrow_mut();
-        memory.compacted = index;
-        Ok(())
+    fn term(&self, index: u64) -> Result<u64> {
+        if index == self.compacted.0 {
+            return Ok(self.compacted.1);
+        }
+        if index < self.compacted.0 {
+            return Err(Error::Store(StorageError::Compacted));
+        }
+        let entry = self.log.get((index - self.compacted.0 - 1) as usize);
+        entry.map(|entry| entry.term).ok_or(Error::Store(StorageError::Unavailable))
     }
 
-    fn get_compacted_idx(&self) -> StorageResult<usize> {
-        let memory = self.0.borrow();
-        Ok(memory.compacted)
+    fn first_index(&self) -> Result<u64> {
+        Ok(self.compacted.0 + 1)
     }
 
-    fn set_snapshot(&mut self, snapshot: Option<Folded<F>>) -> StorageResult<()> {
-        let mut memory = self.0.borrow_mut();
-        // Folded here, so that it does not grow with the log.
-        memory.snapshot = match snapshot {
-            Some(snapshot) => {
-                let short = "a snapshot that does not reach to where the log begins";
-                Some(snapshot.upto(memory.compacted).ok_or(short)?)
-            }
-            None => None,
-        };
-        let value = memory.snapshot.as_ref().map(|state| bytes(&(memory.compacted as u64, state)));
-        memory.put(SNAPSHOT, value);
-        Ok(())
+    fn last_index(&self) -> Result<u64> {
+        Ok(self.last())
     }
 
-    fn get_snapshot(&self) -> StorageResult<Option<Folded<F>>> {
-        let memory = self.0.borrow();
-        Ok(memory.snapshot.clone().map(|state| Folded {
-            base: Some(state),
-            from: memory.compacted,
-            words: Vec::new(),
-        }))
+    fn snapshot(&self, wanted: u64, _: u64) -> Result<Snapshot> {
+        if self.applied < wanted {
+            return Err(Error::Store(StorageError::SnapshotTemporarilyUnavailable));
+        }
+        let mut snapshot = Snapshot::default();
+        snapshot.set_data(postcard::to_stdvec(&self.folded).unwrap_or_default().into());
+        let meta = snapshot.mut_metadata();
+        (meta.index, meta.term) = (self.applied, self.term(self.applied)?);
+        meta.set_conf_state(self.voters.clone());
+        Ok(snapshot)
     }
 }
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -2,28 +2,30 @@
 
 use crate::Fold;
 use crate::gate::Gate;
-use crate::memory::{Change, Damage, Journal, Memory, Shared, Word};
-use omnipaxos::messages::Message;
-use omnipaxos::util::LogEntry;
-use omnipaxos::{ClusterConfig, OmniPaxos, ServerConfig};
-use std::cell::RefCell;
-use std::fmt;
-use std::marker::PhantomData;
-use std::rc::Rc;
+use crate::memory::{Change, Damage, Memory};
+use protobuf::Message as _;
+use raft::eraftpb::{ConfChange, ConfChangeType, ConfChangeV2, Entry, EntryType, Message, MessageType};
+use raft::{Config, RawNode, SnapshotStatus, StateRole};
+use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 
 /// The longest word, in bytes.
 pub const MOST_WORD: usize = 256 << 10;
-/// So many words are folded into the snapshot at a time.
-const FOLD: usize = 512;
+/// Seats, at most.
+pub const MOST_SEATS: usize = 7;
+/// So many words are folded at a time.
+const FOLD: u64 = 512;
 /// Inputs that wait for a disk; beyond it nothing new is taken in.
 const MOST_HELD: usize = 4096;
-/// Ticks without a hello of the leader before another is sought, and between repeated messages.
-const ELECTION: u64 = 5;
-const RESEND: u64 = 10;
-/// So many ticks without a leader that it follows, or that leads by its word, before it tries to lead itself; some more by its
-/// number, and twice as many each time. The library's own election can leave a voter behind that had promised
-/// somebody more than the one who leads (1 of 10,000 simulated runs): its requests are passed over for ever.
-const LEFT_BEHIND: u64 = 60;
+/// Ticks without a word of the leader before another is sought, at least; each voter waits so many more by its number, so that two
+/// seldom try at once. No chance is in it: a seed replays a run.
+const ELECTION: usize = 10;
+const STAGGER: usize = 3;
+/// Ticks between hellos of the leader.
+const HEARTBEAT: usize = 2;
+/// Bytes of a message, about; and of what a leader has put to the log and is not decided.
+const MESSAGE: u64 = 64 << 10;
+const UNDECIDED: u64 = 4 << 20;
 
 /// What is to be done, or has come of it.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,100 +38,97 @@
     Decided(u64, Vec<u8>),
     /// Many are, up to this place, whose words are not told: [`Voter::state`] has them in.
     Skipped(u64),
+    /// Who votes has changed.
+    Seats,
 }
 
 /// Why a word is not proposed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Refused {
     /// It is longer than any may be.
+    #[error("it is too long")]
     Long,
-    /// Too much waits for the disk.
+    /// Too much waits for the disk, or to be decided.
+    #[error("too much waits for the disk or to be decided")]
     Busy,
     /// No voter leads that this one knows of.
+    #[error("no voter leads")]
     Leaderless,
+    /// Another one leads, which is to be asked.
+    #[error("voter {0} leads")]
+    Elsewhere(u64),
+    /// A change of who votes is under way.
+    #[error("another change of the voters is not decided yet")]
+    Changing,
+    /// No more than seven vote, no fewer than two.
+    #[error("two to seven nodes vote")]
+    Count,
+    /// The library has come to an end with itself: this process votes no more.
+    #[error("the log of this process is at its end")]
+    Ended,
 }
 
-impl fmt::Display for Refused {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Long => "it is too long",
-            Self::Busy => "too much waits for the disk",
-            Self::Leaderless => "no voter leads",
-        })
-    }
+/// A change of who votes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Seating {
+    /// This node gets a seat, with a number that none has had.
+    Add(String),
+    /// The seat of this number is taken away.
+    Remove(u64),
 }
 
-impl std::error::Error for Refused {}
-
 /// What may be told once a write is durable.
-struct Held<F> {
-    messages: Vec<(u64, Vec<u8>)>,
-    decided: Vec<Found<F>>,
-}
-
-enum Found<F> {
-    Word(Vec<u8>),
-    /// All up to there, and what they come to.
-    All(usize, F),
+struct Held {
+    ready: u64,
+    messages: Vec<Message>,
 }
 
-/// One voter of a fixed set.
+/// One voter, by the number of its seat.
 pub struct Voter<F: Fold> {
     me: u64,
-    paxos: OmniPaxos<Word<F>, Shared<F>>,
-    voters: Vec<u64>,
-    memory: Shared<F>,
-    /// How often the library has lost its way.
-    begun_anew: u64,
-    journal: Rc<RefCell<Journal>>,
-    gate: Gate<Held<F>>,
-    /// How far has been read of what is decided, and how far it has been told.
-    read: usize,
-    told: usize,
-    state: F,
-    /// Ticks without a leader, and after how many it tries itself.
-    astray: u64,
-    patience: u64,
+    raft: RawNode<Memory<F>>,
+    gate: Gate<Held>,
+    ended: Option<String>,
 }
 
 impl<F: Fold> Voter<F> {
-    /// The voter of this number among these, from what it had kept; a new one from nothing. **One that has voted before and comes
-    /// back with less than it had kept must not be this number any more** ([`crate::admission`] says): it may break what it has
-    /// promised. What comes of it is
-    /// to be done as of any other call.
+    /// The voter of this seat, from what it had kept. With nothing kept it is one of these founders; with no founders given, one
+    /// that has been added and waits to be told. **One that has voted before and comes back with less than it had kept must
+    /// not be this number any more** ([`crate::admission`] says): it may break what it has promised. What comes of it is to be
+    /// done as of any other call.
     ///
     /// # Errors
     ///
-    /// If what was kept can't be gone by, or the voters are not three to seven, this one among them.
+    /// If what was kept can't be gone by, or the founders are none.
     pub fn new(
         me: u64,
-        voters: &[u64],
+        founders: &BTreeMap<u64, String>,
         kept: impl IntoIterator<Item = (Vec<u8>, Vec<u8>)>,
     ) -> Result<(Self, Vec<Out>), Damage> {
-        if !(3..=7).contains(&voters.len()) || !voters.contains(&me) || voters.contains(&0) {
+        let sound = founders.is_empty() || founders.contains_key(&me) && !founders.contains_key(&0);
+        if !sound || me == 0 || founders.len() > MOST_SEATS {
             return Err(Damage(format!(
-                "voter {me} of {voters:?}: three to seven numbers above 0, its own among them"
+                "voter {me} of {founders:?}: up to {MOST_SEATS} numbers above 0, its own among them"
             )));
         }
-        let journal = Rc::new(RefCell::new(Journal::default()));
-        let memory = Shared(Rc::new(RefCell::new(Memory::restore(kept, journal.clone())?)));
-        let paxos = begin(me, voters, memory.again())?;
-        let voters = voters.to_vec();
-        let state = F::default();
-        let mut voter = Self {
-            me,
-            paxos,
-            voters,
-            memory,
-            begun_anew: 0,
-            journal,
-            gate: Gate::default(),
-            read: 0,
-            told: 0,
-            state,
-            astray: 0,
-            patience: LEFT_BEHIND + 7 * me,
+        let memory = Memory::<F>::restore(founders, kept)?;
+        let config = Config {
+            id: me,
+            election_tick: ELECTION,
+            heartbeat_tick: HEARTBEAT,
+            min_election_tick: ELECTION + STAGGER * (me % MOST_SEATS as u64) as usize,
+            max_election_tick: ELECTION + STAGGER * (me % MOST_SEATS as u64) as usize + 1,
+            applied: memory.applied,
+            max_size_per_msg: MESSAGE,
+            max_uncommitted_size: UNDECIDED,
+            max_committed_size_per_ready: u64::MAX,
+            check_quorum: true,
+            pre_vote: true,
+            ..Config::default()
         };
+        let quiet = slog::Logger::root(slog::Discard, slog::o!());
+        let raft = RawNode::new(&config, memory, &quiet).map_err(|error| Damage(error.to_string()))?;
+        let mut voter = Self { me, raft, gate: Gate::default(), ended: None };
         // What was kept is durable: what is decided of it holds at once.
         let mut out = Vec::new();
         voter.pass(&mut out);
@@ -143,53 +142,62 @@
 
     /// What the words that it has told as decided come to.
     pub fn state(&self) -> &F {
-        &self.state
+        &self.raft.store().folded.state
     }
 
     /// How many words that is.
     pub fn told(&self) -> u64 {
-        self.told as u64
+        self.raft.store().folded.words
+    }
+
+    /// Who votes: the number of each seat, and the node that has it.
+    pub fn seats(&self) -> &BTreeMap<u64, String> {
+        &self.raft.store().folded.seats
+    }
+
+    /// Who leads, as far as it knows.
+    pub fn leader(&self) -> Option<u64> {
+        Some(self.raft.raft.leader_id).filter(|leader| *leader > 0)
     }
 
-    /// Who leads, as far as it knows, and whether that one can have words decided by now.
-    pub fn leader(&self) -> Option<(u64, bool)> {
-        self.paxos.get_current_leader()
+    /// Whether it leads.
+    pub fn leads(&self) -> bool {
+        self.raft.raft.state == StateRole::Leader
     }
 
-    /// Words of the log in memory that are not folded, those that are not decided among them.
+    /// Words of the log in memory.
     pub fn length(&self) -> usize {
-        self.paxos.get_accepted_idx() - self.paxos.get_compacted_idx()
+        self.raft.store().length()
     }
 
-    /// How often the library has lost its way and was begun anew from what it had noted.
-    pub fn begun_anew(&self) -> u64 {
-        self.begun_anew
+    /// Why it votes no more, if the library has come to an end with itself.
+    pub fn ended(&self) -> Option<&str> {
+        self.ended.as_deref()
     }
 
-    /// A tick: they come evenly, some ten a second.
+    /// A tick: they come evenly, some twenty a second.
     pub fn tick(&mut self, out: &mut Vec<Out>) {
         // One whose disk does not come to an end says nothing new meanwhile: others will see to it.
         if self.gate.held() < MOST_HELD {
-            self.paxos.tick();
-            self.astray = if self.leader().is_some_and(|(_, follows)| follows) { 0 } else { self.astray + 1 };
-            if self.astray == 0 {
-                self.patience = LEFT_BEHIND + 7 * self.me;
-            } else if self.astray > self.patience {
-                (self.astray, self.patience) = (0, (self.patience * 2).min(64 * LEFT_BEHIND));
-                self.paxos.try_become_leader();
-            }
+            self.guarded(|raft| {
+                raft.tick();
+            });
         }
         self.pass(out);
     }
 
-    /// A message of a voter has come; one that can't be read is passed over, and `false` is given.
+    /// A message of a voter has come; one that can't be read or is none that could have been sent is passed over, and `false`
+    /// is given.
     pub fn receive(&mut self, bytes: &[u8], out: &mut Vec<Out>) -> bool {
-        let Ok((message, [])) = postcard::take_from_bytes::<Message<Word<F>>>(bytes) else { return false };
-        if message.get_receiver() != self.me {
+        let Ok(message) = Message::parse_from_bytes(bytes) else { return false };
+        if message.to != self.me || message.from == 0 || message.from == self.me || !sound(&message) {
             return false;
         }
         if self.gate.held() < MOST_HELD {
-            self.paxos.handle_incoming(message);
+            self.guarded(|raft| {
+                // A refusal leaves all as it is.
+                let _ = raft.step(message);
+            });
         }
         self.pass(out);
         true
@@ -197,7 +205,10 @@
 
     /// Messages to and from a voter may have been lost: its connection was made anew.
     pub fn reconnected(&mut self, voter: u64, out: &mut Vec<Out>) {
-        self.paxos.reconnected(voter);
+        self.guarded(|raft| {
+            raft.report_unreachable(voter);
+            raft.report_snapshot(voter, SnapshotStatus::Failure);
+        });
         self.pass(out);
     }
 
@@ -211,114 +222,235 @@
         if word.len() > MOST_WORD {
             return Err(Refused::Long);
         }
-        if self.gate.held() >= MOST_HELD {
-            return Err(Refused::Busy);
+        self.open()?;
+        let mut proposed = false;
+        self.guarded(|raft| proposed = raft.propose(Vec::new(), word).is_ok());
+        self.pass(out);
+        if proposed { Ok(()) } else { Err(Refused::Busy) }
+    }
+
+    /// Changes who votes; it holds once [`Voter::seats`] says so. One change is made at a time, and by who leads.
+    ///
+    /// # Errors
+    ///
+    /// If it is not even tried.
+    pub fn seat(&mut self, change: &Seating, out: &mut Vec<Out>) -> Result<(), Refused> {
+        self.open()?;
+        if !self.leads() {
+            return Err(self.leader().map_or(Refused::Leaderless, Refused::Elsewhere));
         }
-        if self.leader().is_none() {
-            return Err(Refused::Leaderless);
+        if self.raft.raft.has_pending_conf() {
+            return Err(Refused::Changing);
+        }
+        let (seats, mut cc, mut name) = (self.seats(), ConfChange::default(), String::new());
+        match change {
+            Seating::Add(_) if seats.len() >= MOST_SEATS => return Err(Refused::Count),
+            Seating::Add(node) if seats.values().any(|name| name == node) => return Ok(()),
+            Seating::Add(node) => {
+                cc.set_change_type(ConfChangeType::AddNode);
+                cc.node_id = self.raft.store().folded.highest + 1;
+                name.clone_from(node);
+            }
+            Seating::Remove(seat) if !seats.contains_key(seat) => return Ok(()),
+            Seating::Remove(_) if seats.len() <= 2 => return Err(Refused::Count),
+            Seating::Remove(seat) if *seat == self.me => {
+                // Another leads first, that takes the seat away then.
+                let other = seats.keys().copied().find(|seat| *seat != self.me).unwrap_or_default();
+                self.guarded(|raft| raft.transfer_leader(other));
+                self.pass(out);
+                return Err(Refused::Changing);
+            }
+            Seating::Remove(seat) => {
+                cc.set_change_type(ConfChangeType::RemoveNode);
+                cc.node_id = *seat;
+            }
         }
-        let proposed = self.paxos.append(Word { bytes: word, at: 0, of: PhantomData });
+        let mut proposed = false;
+        self.guarded(|raft| proposed = raft.propose_conf_change(name.into_bytes(), cc).is_ok());
         self.pass(out);
-        proposed.map_err(|_| Refused::Leaderless)
+        if proposed { Ok(()) } else { Err(Refused::Busy) }
+    }
+
+    fn open(&self) -> Result<(), Refused> {
+        if self.ended.is_some() {
+            return Err(Refused::Ended);
+        }
+        if self.gate.held() >= MOST_HELD {
+            return Err(Refused::Busy);
+        }
+        self.leader().map(|_| ()).ok_or(Refused::Leaderless)
     }
 
     /// All writes up to this one are durable.
     pub fn durable(&mut self, number: u64, out: &mut Vec<Out>) {
         self.gate.durable(number);
-        self.release(out);
+        self.pass(out);
     }
 
-    /// Takes what an input has led to: changes to be written, and what may be told once they are durable. So what others
-    /// hear, and what is told as decided here, is what a voter would say that had written at once: the count of a leader's
-    /// own vote, too, leaves it only in messages.
+    /// The library ends the process where it finds its log contradicting itself: here it ends this process's vote.
+    fn guarded(&mut self, act: impl FnOnce(&mut RawNode<Memory<F>>)) {
+        if self.ended.is_some() {
+            return;
+        }
+        let raft = &mut self.raft;
+        if let Err(panic) = catch_unwind(AssertUnwindSafe(|| act(raft))) {
+            let why = panic.downcast_ref::<String>().cloned();
+            let why = why.or_else(|| panic.downcast_ref::<&str>().map(|s| (*s).to_owned()));
+            self.ended = Some(why.unwrap_or_else(|| "the library gave up".to_owned()));
+        }
+    }
+
+    /// Takes what an input has led to: changes to be written, and what may be told once they are durable. A leader's own
+    /// messages may go before: that others have a word makes no promise of its own.
     fn pass(&mut self, out: &mut Vec<Out>) {
-        let mut messages = Vec::new();
-        self.paxos.take_outgoing_messages(&mut messages);
-        if self.paxos.get_compacted_idx() > self.paxos.get_decided_idx() {
-            // A leader of omnipaxos 0.2.4 can take over what another has folded, and forget that it is decided, where the
-            // promise that it came with was asked for again meanwhile. What it would say from then on contradicts itself: it
-            // ends as by a death at this point, and begins anew with all that it had noted.
-            self.memory.0.borrow_mut().mend();
-            if let Ok(paxos) = begin(self.me, &self.voters, self.memory.again()) {
-                (self.paxos, self.begun_anew) = (paxos, self.begun_anew + 1);
-                messages.clear();
-                self.paxos.take_outgoing_messages(&mut messages);
+        loop {
+            while let Some(held) = self.gate.free() {
+                self.guarded(|raft| raft.on_persist_ready(held.ready));
+                self.send(held.messages, out);
             }
+            self.guarded(|raft| {
+                // A state that was taken over counts as applied only once it is durable.
+                let upto = raft.store().applied.min(raft.raft.raft_log.persisted);
+                if upto > raft.raft.raft_log.applied {
+                    raft.advance_apply_to(upto);
+                }
+            });
+            if self.ended.is_some() || !self.raft.has_ready() {
+                break;
+            }
+            let (mut at_once, mut later, mut number, mut decided) = (Vec::new(), Vec::new(), 0, Vec::new());
+            let mut over = None;
+            self.guarded(|raft| {
+                let mut ready = raft.ready();
+                (at_once, later, number) =
+                    (ready.take_messages(), ready.take_persisted_messages(), ready.number());
+                decided = ready.take_committed_entries();
+                if !ready.snapshot().is_empty() {
+                    over = Some(raft.mut_store().take_over(ready.snapshot()));
+                }
+                raft.mut_store().append(ready.take_entries());
+                if let Some(hard) = ready.hs() {
+                    let hard = hard.clone();
+                    raft.mut_store().keep_hard(hard);
+                }
+                raft.advance_append_async(ready);
+            });
+            match over {
+                Some(true) => {
+                    out.push(Out::Skipped(self.told()));
+                    out.push(Out::Seats);
+                }
+                Some(false) => self.ended = Some("a state of the leader's can't be read".to_owned()),
+                None => {}
+            }
+            for entry in decided {
+                self.apply(entry, out);
+            }
+            if self.raft.store().grown(FOLD) {
+                self.raft.mut_store().compact();
+            }
+            let changes = self.raft.mut_store().take();
+            if !changes.is_empty() {
+                out.push(Out::Write(self.gate.write(), changes));
+            }
+            self.send(at_once, out);
+            self.gate.hold(Held { ready: number, messages: later });
         }
-        let decided = self.decided();
-        // The words that are told are folded into the snapshot now and then; that is only memory and disk.
-        if self.told >= self.paxos.get_compacted_idx() + FOLD {
-            // A refusal leaves all as it is.
-            let _ = self.paxos.snapshot(Some(self.told), true);
-        }
-        let changes = self.journal.borrow_mut().take();
+        let changes = self.raft.mut_store().take();
         if !changes.is_empty() {
+            // What the founders begin with.
             out.push(Out::Write(self.gate.write(), changes));
         }
-        if !messages.is_empty() || !decided.is_empty() {
-            let word = |message: &Message<Word<F>>| {
-                (message.get_receiver(), postcard::to_stdvec(message).unwrap_or_default())
-            };
-            let messages = messages.iter().map(word).collect();
-            self.gate.hold(Held { messages, decided });
-        }
-        self.release(out);
     }
 
-    /// What has been decided since it was last looked.
-    fn decided(&mut self) -> Vec<Found<F>> {
-        let upto = self.paxos.get_decided_idx();
-        if upto <= self.read {
-            return Vec::new();
-        }
-        let mut found = Vec::new();
-        for entry in self.paxos.read_decided_suffix(self.read).unwrap_or_default() {
-            match entry {
-                LogEntry::Decided(word) => found.push(Found::Word(word.bytes)),
-                LogEntry::Snapshotted(all) => {
-                    let upto = all.trimmed_idx;
-                    found.extend(all.snapshot.upto(upto).map(|state| Found::All(upto, state)));
-                }
-                // None is trimmed without a snapshot, and no stop is proposed.
-                LogEntry::Undecided(_) | LogEntry::Trimmed(_) | LogEntry::StopSign(..) => {}
+    fn send(&mut self, messages: Vec<Message>, out: &mut Vec<Out>) {
+        for message in messages {
+            out.push(Out::Send(message.to, message.write_to_bytes().unwrap_or_default()));
+            if message.get_msg_type() == MessageType::MsgSnapshot {
+                // Whether it arrives is seen by what comes next: till then the leader would wait for ever.
+                self.guarded(|raft| raft.report_snapshot(message.to, SnapshotStatus::Finish));
             }
         }
-        self.read = upto;
-        found
     }
 
-    fn release(&mut self, out: &mut Vec<Out>) {
-        while let Some(held) = self.gate.free() {
-            for found in held.decided {
-                match found {
-                    Found::Word(word) => {
-                        self.told += 1;
-                        self.state.apply(&word);
-                        out.push(Out::Decided(self.told as u64, word));
-                    }
-                    Found::All(upto, state) => {
-                        (self.told, self.state) = (upto, state);
-                        out.push(Out::Skipped(upto as u64));
+    fn apply(&mut self, mut entry: Entry, out: &mut Vec<Out>) {
+        let word = entry.take_data();
+        match entry.get_entry_type() {
+            EntryType::EntryNormal => {
+                let store = self.raft.mut_store();
+                store.applied = entry.index;
+                // The library's own are empty.
+                if !word.is_empty() {
+                    store.folded.words += 1;
+                    store.folded.state.apply(&word);
+                    out.push(Out::Decided(store.folded.words, word.to_vec()));
+                }
+            }
+            EntryType::EntryConfChange | EntryType::EntryConfChangeV2 => {
+                let change = ConfChange::parse_from_bytes(&word).ok();
+                let name = String::from_utf8_lossy(&entry.take_context()).into_owned();
+                let change = change.filter(|change| self.fits(change, &name));
+                let mut voters = None;
+                self.guarded(|raft| {
+                    voters = match &change {
+                        Some(change) => raft.apply_conf_change(change).ok(),
+                        None => raft.apply_conf_change(&ConfChangeV2::default()).ok(),
+                    };
+                });
+                let store = self.raft.mut_store();
+                store.applied = entry.index;
+                if let (Some(voters), Some(change)) = (voters, change) {
+                    store.voters = voters;
+                    let seats = &mut store.folded.seats;
+                    if change.get_change_type() == ConfChangeType::AddNode {
+                        store.folded.highest = change.node_id;
+                        seats.insert(change.node_id, name);
+                    } else {
+                        seats.remove(&change.node_id);
                     }
+                    out.push(Out::Seats);
                 }
             }
-            out.extend(held.messages.into_iter().map(|(to, bytes)| Out::Send(to, bytes)));
+        }
+    }
+
+    /// Whether a change that was put to the log still fits when it is decided.
+    fn fits(&self, change: &ConfChange, name: &str) -> bool {
+        let folded = &self.raft.store().folded;
+        match change.get_change_type() {
+            ConfChangeType::AddNode => {
+                let new = change.node_id > folded.highest && !folded.seats.values().any(|seat| seat == name);
+                new && folded.seats.len() < MOST_SEATS
+            }
+            ConfChangeType::RemoveNode => {
+                folded.seats.contains_key(&change.node_id) && folded.seats.len() > 2
+            }
+            ConfChangeType::AddLearnerNode => false,
         }
     }
 }
 
-/// The library's part of a voter.
-fn begin<F: Fold>(
-    me: u64,
-    voters: &[u64],
-    memory: Shared<F>,
-) -> Result<OmniPaxos<Word<F>, Shared<F>>, Damage> {
-    let cluster = ClusterConfig { configuration_id: 1, nodes: voters.to_vec(), flexible_quorum: None };
-    let server = ServerConfig {
-        pid: me,
-        election_tick_timeout: ELECTION,
-        resend_message_tick_timeout: RESEND,
-        ..ServerConfig::default()
-    };
-    cluster.build_for_server(server, memory).map_err(|error| Damage(error.to_string()))
+/// Whether a message could have been sent by a voter: the library ends the process at some that could not.
+fn sound(message: &Message) -> bool {
+    use MessageType::*;
+    let kind = matches!(
+        message.get_msg_type(),
+        MsgPropose
+            | MsgAppend
+            | MsgAppendResponse
+            | MsgRequestVote
+            | MsgRequestVoteResponse
+            | MsgRequestPreVote
+            | MsgRequestPreVoteResponse
+            | MsgSnapshot
+            | MsgHeartbeat
+            | MsgHeartbeatResponse
+            | MsgTransferLeader
+            | MsgTimeoutNow
+    );
+    let entries = message.get_entries();
+    let row = message.get_msg_type() != MsgAppend
+        || entries.iter().zip(message.index + 1..).all(|(e, at)| e.index == at && e.term <= message.term);
+    let proposed = message.get_msg_type() != MsgPropose || !entries.is_empty();
+    kind && row && proposed && (message.get_msg_type() != MsgSnapshot || !message.get_snapshot().is_empty())
 }
