--- a/src/net/back/farm.rs
+++ b/src/net/back/farm.rs
@@ -14,8 +14,12 @@
 const MOST_LIST: usize = 8 << 20;
 /// How long a call waits for changes, in seconds.
 const WAIT: f64 = 20.0;
-/// How long after that its answer may take: discovery ends a call, or fails it, in 2 s.
+/// How long the answer of a call that does not wait may take: discovery ends a call, or fails it, in 2 s.
 const PATIENCE: f64 = 2.5;
+/// How long after its wait a watch's answer may take, and by how much longer it may be at some nodes, so that not all call
+/// at once. What a silent watch misses counts as told 2 s after the wait: by then a fresh call must have been answered.
+const SILENCE: f64 = 0.9;
+const SPREAD: f64 = 0.4;
 /// A node without any list calls again after this time at first, and after this one at most.
 const FIRST_AGAIN: f64 = 0.1;
 const MOST_AGAIN: f64 = 2.0;
@@ -121,6 +125,10 @@
     /// The version that this node holds; `None` where only the whole list will do.
     revision: Option<u64>,
     session: Option<Session>,
+    /// The call that is out is a watch, whose silence is no proof that discovery is down.
+    waits: bool,
+    /// See [`SPREAD`].
+    spread: f64,
     /// A call is out. It counts the calls, so that a timer of an earlier one is known.
     calling: bool,
     call: u64,
@@ -162,7 +170,20 @@
         let dial_timeout = settings.dial_timeout.max(0.25);
         let hunger = known.is_none().then(|| Backoff::new(FIRST_AGAIN, MOST_AGAIN, seed));
         let (revision, session, calling, call) = (known, None, false, 0);
-        Self { discovery, settings, revision, session, calling, call, dial_timeout, hunger, held: None }
+        let spread = SPREAD * (seed % 1024) as f64 / 1024.0;
+        Self {
+            discovery,
+            settings,
+            revision,
+            session,
+            waits: false,
+            spread,
+            calling,
+            call,
+            dial_timeout,
+            hunger,
+            held: None,
+        }
     }
 
     /// Holds the whole list from now on, beginning with this one, so that it can be kept.
@@ -249,8 +270,9 @@
             }
             reactor.timer(reactor.now + self.dial_timeout, Due::FarmDial(self.call));
         }
-        let wait = if self.revision.is_some() { wait } else { 0.0 };
-        reactor.timer(reactor.now + wait + PATIENCE, Due::Farm(self.call));
+        self.waits = self.revision.is_some() && wait > 0.0;
+        let patience = if self.waits { wait + SILENCE + self.spread } else { PATIENCE };
+        reactor.timer(reactor.now + patience, Due::Farm(self.call));
         let Some(session) = &mut self.session else { return };
         let mut caller = Caller::default();
         session.connection.send(&bytes, &mut caller);
@@ -273,9 +295,17 @@
         }
     }
 
-    /// A call has had its time.
+    /// A call has had its time. A watch that has fallen silent is opened anew at once; only a call that does not wait
+    /// tells that discovery is down. Danger: what the watch missed counts as told before the dispatcher would ask again.
     pub fn due(&mut self, reactor: &mut Reactor, call: u64) {
-        if self.calling && call == self.call {
+        if !self.calling || call != self.call {
+            return;
+        }
+        if self.waits {
+            tracing::info!(discovery = %self.discovery, "a watch has fallen silent: opened anew");
+            self.hang_up(reactor);
+            self.ask(reactor, 0.0);
+        } else {
             self.failed(reactor);
         }
     }
@@ -402,6 +432,54 @@
         assert!(matches!(reactor.queue.pop_front(), Some(Input::Farm(ListKind::Failed, _))));
     }
 
+    /// Guards against a watch that has fallen silent and is waited for until after what it missed counts as told, 2 s after
+    /// its wait; and against silence that is told as a failure, after which the dispatcher takes its time to ask.
+    #[test]
+    fn a_silent_watch_is_opened_anew_before_what_it_missed_counts_as_told() {
+        use std::io::Write as _;
+        let list = |peer: &mut TcpStream| {
+            let body = r#"{"revision":5,"complete":false,"members":[]}"#;
+            write!(peer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).expect("written");
+        };
+        for seed in [0, 1023] {
+            let mut reactor = Reactor::new(1000.0).expect("a reactor");
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            let at = listener.local_addr().expect("an address");
+            let settings = Settings::from_json(r#"{"discovery": "on_request"}"#).expect("sound settings");
+            let mut farm = Farm::new(at, settings, Some(5), seed);
+            farm.watch(&mut reactor);
+            let (mut peer, _) = listener.accept().expect("a connection");
+            list(&mut peer);
+            let key = farm.session.as_ref().map(|s| s.key).expect("a connection");
+            farm.ready(&mut reactor, key, true, true);
+            reactor.queue.clear();
+            let (asked, first) = (reactor.now, farm.call);
+            let wait = |farm: &mut Farm, reactor: &mut Reactor, call: u64| {
+                while farm.call == call && farm.calling && reactor.now < asked + 60.0 {
+                    reactor.now += 0.01;
+                    for due in reactor.due() {
+                        if let Due::Farm(call) = due {
+                            farm.due(reactor, call);
+                        }
+                    }
+                }
+                reactor.now - asked
+            };
+            let took = wait(&mut farm, &mut reactor, first);
+            assert!((WAIT + 0.8..WAIT + 1.5).contains(&took), "seed {seed}: opened anew after {took} s");
+            assert!(
+                farm.calling && reactor.queue.is_empty(),
+                "at once, and the dispatcher has nothing to do with it"
+            );
+            listener.accept().expect("on a connection of its own");
+            // That one is silent, too: now discovery is down.
+            let call = farm.call;
+            let took = wait(&mut farm, &mut reactor, call) - took;
+            assert!((2.4..2.6).contains(&took), "seed {seed}: {took} s");
+            assert!(matches!(reactor.queue.pop_front(), Some(Input::Farm(ListKind::Failed, _))));
+        }
+    }
+
     /// Guards against a start with an older list than the one that was held, or with one whose versions mean
     /// nothing here; against a kept list that misses changes, or holds what has gone.
     #[test]
