Put duties into the node: voters that are changed, calls over streams, owners at the door

Change: crates/council is a node's part (seat, duties, calls) as a machine told words, time and durable writes; src/net/peers/affairs.rs carries it over the streams between nodes and through the store's writer thread, one batch at a time. A voter with an empty or older store is known, says so, and is added anew under a number that none had.

Off without the section.

--- a/crates/agreement/src/admission.rs
+++ b/crates/agreement/src/admission.rs
@@ -6,7 +6,9 @@
 //! nothing asks all others: where anybody knows of a start, it has lost its store; where nobody does, it has never voted.
 //!
 //! A process may vote once all others have heard of its start, or a majority with itself has and the rest stay silent for [`GRACE`].
-//! So an old store goes unnoticed only if all who had heard of its latest start are away, or have lost their stores, for as long. To wait for
+//! An older store of the same start is seen by who has heard its voter speak in a later term, or say to have more, since its own start:
+//! that is not kept. So an old store goes unnoticed only if all who had heard of its latest start are away, or have lost their stores,
+//! for as long; or, of the same start, if they have been started anew. To wait for
 //! all without an end would leave three voters without a majority once one has died for good and another is started anew.
 
 use crate::gate::Gate;
@@ -21,12 +23,14 @@
     Who,
     /// The highest start known of the asker, 0 for none.
     Known(u64),
-    /// This is the start of the sender's of this number, by the process of this life.
-    Started(u64, u64),
+    /// This is the start of the sender's of this number, by the process of this life, with a log of this term that ends here.
+    Started(u64, u64, (u64, u64)),
     /// It is kept.
     Seen(u64),
     /// This start of another process, or a later one, was known before.
     Old(u64),
+    /// The receiver's start is not known here: it is to say it again.
+    Again,
 }
 
 /// What may be done.
@@ -56,6 +60,10 @@
     /// Drawn at the start of the process: what it says again is told from what another says.
     life: u64,
     voters: Vec<u64>,
+    /// The term of its log and where it ended when it started.
+    log: (u64, u64),
+    /// The highest term that each voter has spoken in, and the furthest place that it has said to have, in the life that is known.
+    heard: BTreeMap<u64, (u64, u64)>,
     /// Its start, once it is kept.
     start: Option<u64>,
     /// Of the others: their latest start, and of which life.
@@ -78,11 +86,13 @@
 const KNOWN: &[u8] = b"s/known/";
 
 impl Admission {
-    /// The voter of this number among these, from what it had kept (keys that begin with `s/`).
+    /// The voter of this number among these, from what it had kept (keys that begin with `s/`), with a log of this term that ends
+    /// there ([`crate::stored`]).
     pub fn new(
         me: u64,
         life: u64,
         voters: &[u64],
+        log: (u64, u64),
         kept: impl IntoIterator<Item = (Vec<u8>, Vec<u8>)>,
     ) -> Self {
         let number = |bytes: &[u8]| bytes.try_into().map(u64::from_be_bytes).ok();
@@ -102,6 +112,8 @@
             me,
             life,
             voters: voters.to_vec(),
+            log,
+            heard: BTreeMap::new(),
             start: None,
             known,
             empty: BTreeSet::new(),
@@ -118,6 +130,29 @@
         self.verdict
     }
 
+    /// Who votes has changed.
+    pub fn seats(&mut self, voters: &[u64]) {
+        self.voters = voters.to_vec();
+        self.empty.retain(|voter| voters.contains(voter));
+        self.seen.retain(|voter| voters.contains(voter));
+    }
+
+    /// Whether the log's words of this life of a voter count: its start is known.
+    pub fn knows(&self, voter: u64, life: u64) -> bool {
+        self.known.get(&voter).is_some_and(|(_, of)| *of == life)
+    }
+
+    /// A voter has spoken in this term, and said to have all up to this place.
+    pub fn heard(&mut self, voter: u64, term: u64, place: u64) {
+        let heard = self.heard.entry(voter).or_default();
+        *heard = (heard.0.max(term), heard.1.max(place));
+    }
+
+    /// Whether a voter has promised more than it comes back with, as far as this one has heard.
+    fn promised(&self, voter: u64, log: (u64, u64)) -> bool {
+        self.heard.get(&voter).is_some_and(|heard| heard.0 > log.0 || heard.1 > log.1)
+    }
+
     fn others(&self) -> impl Iterator<Item = u64> {
         self.voters.iter().copied().filter(|voter| *voter != self.me)
     }
@@ -152,7 +187,7 @@
             self.starting = Some((write, start));
         }
         let say = match (self.start, self.starting) {
-            (Some(start), _) => Say::Started(start, self.life),
+            (Some(start), _) => Say::Started(start, self.life, self.log),
             (None, Some(_)) => return,
             (None, None) => Say::Who,
         };
@@ -185,17 +220,22 @@
         let known = self.known.get(&from).copied().unwrap_or((0, 0));
         match say {
             Say::Who => out.push(Act::Say(from, Say::Known(known.0))),
-            Say::Started(start, life) if start > known.0 => {
+            // It has said to have more than it has now: its store is an older one of the same start.
+            Say::Started(start, _, log) if start > known.0 && self.promised(from, log) => {
+                out.push(Act::Say(from, Say::Old(start)));
+            }
+            Say::Started(start, life, _) if start > known.0 => {
+                self.heard.remove(&from);
                 self.known.insert(from, (start, life));
                 self.write([KNOWN, &from.to_be_bytes()].concat(), &[start, life], out);
                 self.answers.hold((from, Say::Seen(start)));
             }
             // Told again: the answer was lost, or its write is under way.
-            Say::Started(start, life) if (start, life) == known => {
+            Say::Started(start, life, _) if (start, life) == known => {
                 self.answers.hold((from, Say::Seen(start)));
                 self.answer(out);
             }
-            Say::Started(start, _) => out.push(Act::Say(from, Say::Old(start))),
+            Say::Started(start, ..) => out.push(Act::Say(from, Say::Old(start))),
             Say::Known(start) => {
                 if self.start.is_some() || self.starting.is_some() || self.verdict != Verdict::Wait {
                     return;
@@ -210,6 +250,10 @@
                     self.tick(out);
                 }
             }
+            // Who asks may have an older store than when it said that it had seen it.
+            Say::Again => {
+                self.seen.remove(&from);
+            }
             Say::Seen(start) => {
                 if self.start == Some(start) {
                     self.seen.insert(from);
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -12,8 +12,8 @@
 mod memory;
 mod voter;
 
-pub use memory::{Change, Damage};
-pub use voter::{MOST_SEATS, MOST_WORD, Out, Refused, Seating, Voter};
+pub use memory::{Change, Damage, stored};
+pub use voter::{MOST_SEATS, MOST_WORD, Out, Refused, Seating, Voter, promise};
 
 use serde::{Deserialize, Serialize};
 use std::fmt::Debug;
--- a/crates/agreement/src/memory.rs
+++ b/crates/agreement/src/memory.rs
@@ -1,6 +1,7 @@
 //! The log as it is in memory, with each change noted as it is to be kept.
 
 use crate::Fold;
+use protobuf::Message as _;
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::{Error, GetEntriesContext, RaftState, Result, Storage, StorageError};
 use serde::{Deserialize, Serialize};
@@ -58,6 +59,22 @@
     folded: Folded<F>,
 }
 
+/// The term of a log that was kept, and where it ends; what can't be read counts as nothing.
+pub fn stored<'a>(kept: impl IntoIterator<Item = (&'a Vec<u8>, &'a Vec<u8>)>) -> (u64, u64) {
+    let (mut term, mut last) = (0, 0);
+    for (key, value) in kept {
+        if let Some(index) = key.strip_prefix(LOG) {
+            last = last.max(index.try_into().map(u64::from_be_bytes).unwrap_or_default());
+        } else if key == HARD {
+            term = HardState::parse_from_bytes(value).map(|hard| hard.term).unwrap_or_default();
+        } else if key == FOLDED {
+            // The place stands first.
+            last = last.max(postcard::take_from_bytes::<u64>(value).map(|(at, _)| at).unwrap_or_default());
+        }
+    }
+    (term, last)
+}
+
 /// The log in memory.
 #[derive(Debug)]
 pub struct Memory<F: Fold> {
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -155,6 +155,11 @@
         &self.raft.store().folded.seats
     }
 
+    /// The place of the log that has been applied, the library's own entries and changes of who votes counted.
+    pub fn place(&self) -> u64 {
+        self.raft.store().applied
+    }
+
     /// Who leads, as far as it knows.
     pub fn leader(&self) -> Option<u64> {
         Some(self.raft.raft.leader_id).filter(|leader| *leader > 0)
@@ -190,7 +195,9 @@
     /// is given.
     pub fn receive(&mut self, bytes: &[u8], out: &mut Vec<Out>) -> bool {
         let Ok(message) = Message::parse_from_bytes(bytes) else { return false };
-        if message.to != self.me || message.from == 0 || message.from == self.me || !sound(&message) {
+        // A proposal keeps its first sender's number and may come back to it, where who leads has changed.
+        let own = message.from == self.me && message.get_msg_type() != MessageType::MsgPropose;
+        if message.to != self.me || message.from == 0 || own || !sound(&message) {
             return false;
         }
         if self.gate.held() < MOST_HELD {
@@ -410,6 +417,10 @@
                     }
                     out.push(Out::Seats);
                 }
+                // The library's leader goes on without a seat, and ends the process at its next write.
+                if self.leads() && !self.seats().contains_key(&self.me) {
+                    self.guarded(|raft| raft.raft.become_follower(raft.raft.term, 0));
+                }
             }
         }
     }
@@ -430,6 +441,19 @@
     }
 }
 
+/// What a message of the log's promises for its sender: which seat that is, the term that it speaks in, and the place up to which
+/// it says to have all. A proposal, which others pass on, promises nothing.
+pub fn promise(bytes: &[u8]) -> (u64, u64, u64) {
+    let Ok(message) = Message::parse_from_bytes(bytes) else { return (0, 0, 0) };
+    match message.get_msg_type() {
+        MessageType::MsgPropose => (0, 0, 0),
+        // Their term is one that the sender may have later.
+        MessageType::MsgRequestPreVote | MessageType::MsgRequestPreVoteResponse => (message.from, 0, 0),
+        MessageType::MsgAppendResponse if !message.reject => (message.from, message.term, message.index),
+        _ => (message.from, message.term, 0),
+    }
+}
+
 /// Whether a message could have been sent by a voter: the library ends the process at some that could not.
 fn sound(message: &Message) -> bool {
     use MessageType::*;
--- a/crates/agreement/tests/admission.rs
+++ b/crates/agreement/tests/admission.rs
@@ -46,7 +46,7 @@
         self.lives += 1;
         let voters: Vec<u64> = (1..=self.nodes.len() as u64).collect();
         let kept = self.nodes[n].kept.clone();
-        self.nodes[n].admission = Some(Admission::new(n as u64 + 1, self.lives, &voters, kept));
+        self.nodes[n].admission = Some(Admission::new(n as u64 + 1, self.lives, &voters, (0, 0), kept));
     }
 
     fn kill(&mut self, n: usize) {
@@ -194,7 +194,7 @@
 #[test]
 fn nothing_is_said_before_it_is_kept() {
     let kept = [(b"s/start".to_vec(), 4u64.to_be_bytes().to_vec())];
-    let (mut admission, mut out) = (Admission::new(1, 77, &[1, 2, 3], kept), Vec::new());
+    let (mut admission, mut out) = (Admission::new(1, 77, &[1, 2, 3], (0, 0), kept), Vec::new());
     admission.tick(&mut out);
     let key = b"s/start".to_vec();
     let write = Change { key, value: Some(5u64.to_be_bytes().to_vec()) };
@@ -204,19 +204,19 @@
     admission.receive(9, Say::Seen(5), &mut out);
     admission.receive(2, Say::Seen(5), &mut out);
     assert_eq!((&out[..], admission.verdict()), (&[][..], Verdict::Wait), "it has not started");
-    admission.receive(3, Say::Started(8, 1), &mut out);
+    admission.receive(3, Say::Started(8, 1, (0, 0)), &mut out);
     assert!(matches!(out[..], [Act::Write(2, _)]), "{out:?}");
     out.clear();
-    admission.receive(3, Say::Started(8, 1), &mut out);
+    admission.receive(3, Say::Started(8, 1, (0, 0)), &mut out);
     assert_eq!(out, [], "again, while it is not kept");
     admission.durable(1, &mut out);
-    assert_eq!(out, [Act::Say(2, Say::Started(5, 77)), Act::Say(3, Say::Started(5, 77))]);
+    assert_eq!(out, [Act::Say(2, Say::Started(5, 77, (0, 0))), Act::Say(3, Say::Started(5, 77, (0, 0)))]);
     out.clear();
     admission.durable(2, &mut out);
     assert_eq!(out, [Act::Say(3, Say::Seen(8)), Act::Say(3, Say::Seen(8))]);
     out.clear();
-    admission.receive(3, Say::Started(8, 2), &mut out);
-    admission.receive(3, Say::Started(7, 1), &mut out);
+    admission.receive(3, Say::Started(8, 2, (0, 0)), &mut out);
+    admission.receive(3, Say::Started(7, 1, (0, 0)), &mut out);
     assert_eq!(
         out,
         [Act::Say(3, Say::Old(8)), Act::Say(3, Say::Old(7))],
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -28,6 +28,7 @@
     let _written_at_the_end = logs::start(log)?;
     config.store = operator.store;
     config.fleet = operator.fleet;
+    config.duties = operator.duties;
     let name = config.name.clone();
     let mut node = Node::new(config, stop)?;
     let words = name.clone();
--- a/src/net/back/keeper.rs
+++ b/src/net/back/keeper.rs
@@ -5,6 +5,7 @@
 use crate::net::ground::reactor::{Owner, Reactor};
 use crate::net::words::{AgentId, Input, Wait};
 use crate::operator::StoreSection;
+use postproxy_council::Change;
 use postproxy_ledger::{Ledger, Write, result_key};
 use postproxy_store::{Batch, Engine, Event, Options, OsDisk, Recovery, Store, Work};
 use std::collections::{HashMap, VecDeque};
@@ -22,6 +23,8 @@
 const FARM: &[u8] = b"f/list";
 /// The key of the fleet's bans.
 const BANS: &[u8] = b"f/bans";
+/// What the council's keys begin with: the log, the seat, the starts.
+const COUNCIL: [&[u8]; 3] = [b"a/", b"c/", b"s/"];
 /// How long after a failure the disk is tried again.
 const AGAIN: Duration = Duration::from_millis(500);
 
@@ -30,6 +33,17 @@
     u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// What a store holds that is not the ledger's: the farm's list, the fleet's bans, what the nodes decide together.
+#[derive(Default)]
+pub struct Found {
+    /// The farm's list.
+    pub farm: Option<Kept>,
+    /// The fleet's bans.
+    pub bans: Vec<u8>,
+    /// Keys and values of the council's.
+    pub council: Vec<(Vec<u8>, Vec<u8>)>,
+}
+
 /// The store of a running node.
 pub struct Keeper {
     store: Store,
@@ -45,6 +59,8 @@
     keeps: VecDeque<u64>,
     /// One of them was refused.
     unkept: bool,
+    /// The council's write on its way.
+    council: Option<u64>,
 }
 
 /// Opens the store of a section, with one folder or two.
@@ -86,17 +102,19 @@
         reactor: &mut Reactor,
         section: &StoreSection,
         name: &str,
-    ) -> Result<(Self, Ledger, Option<Kept>, Vec<u8>), String> {
+    ) -> Result<(Self, Ledger, Found), String> {
         let holder = format!("process {} (node {name})", std::process::id());
         let (mut engine, recovery) = open(section, &holder)?;
         let mut ledger = Ledger::new(section.limits());
-        let (mut farm, mut bans) = (None, Vec::new());
+        let mut found = Found::default();
         engine
             .scan(|key, value| {
                 if key == FARM {
-                    farm = Kept::from_json(value);
+                    found.farm = Kept::from_json(value);
                 } else if key == BANS {
-                    bans = value.to_vec();
+                    found.bans = value.to_vec();
+                } else if COUNCIL.iter().any(|of| key.starts_with(of)) {
+                    found.council.push((key.to_vec(), value.to_vec()));
                 } else {
                     ledger.load(key, value);
                 }
@@ -145,8 +163,9 @@
             next_read: 0,
             keeps: VecDeque::new(),
             unkept: false,
+            council: None,
         };
-        Ok((keeper, ledger, farm, bans))
+        Ok((keeper, ledger, found))
     }
 
     /// Has changes written together; what waits for them is told later, through the queue.
@@ -176,6 +195,20 @@
         self.keep(BANS, bans);
     }
 
+    /// Writes what the council wants written: one batch at a time. `false` if it is refused at once.
+    pub fn keep_council(&mut self, changes: &[Change]) -> bool {
+        let batch = changes.iter().fold(Batch::new(), |batch, change| match &change.value {
+            Some(value) => batch.put(&change.key, value, 0),
+            None => batch.delete(&change.key),
+        });
+        let ticket = self.store.append(batch).ok();
+        if let Some(ticket) = ticket {
+            self.waiting.push_back((ticket, Wait::Nobody(String::new())));
+            self.council = Some(ticket);
+        }
+        ticket.is_some()
+    }
+
     fn keep(&mut self, key: &[u8], value: &[u8]) {
         match self.store.append(Batch::new().put(key, value, 0)) {
             Ok(ticket) => {
@@ -193,16 +226,32 @@
         self.store.read(self.next_read, result_key(id));
     }
 
-    /// The store's thread has something to tell.
-    pub fn ready(&mut self, reactor: &mut Reactor) {
+    /// The store's thread has something to tell; what became of the council's write, if that is known by now.
+    pub fn ready(&mut self, reactor: &mut Reactor) -> Option<bool> {
         let mut bytes = [0; 64];
         while self.woken.read(&mut bytes).is_ok_and(|size| size > 0) {}
         // What comes after this wakes again.
         self.pending.store(false, Ordering::Release);
+        let mut council = None;
         while let Ok(event) = self.events.try_recv() {
+            match &event {
+                Event::Durable(last) if self.council.is_some_and(|ticket| ticket <= *last) => {
+                    council = Some(true)
+                }
+                Event::Refused { from, to, .. }
+                    if self.council.is_some_and(|ticket| (*from..=*to).contains(&ticket)) =>
+                {
+                    council = Some(false);
+                }
+                _ => {}
+            }
             self.told(reactor, event);
         }
+        if council.is_some() {
+            self.council = None;
+        }
         reactor.rearm(&self.woken, self.key, (true, false));
+        council
     }
 
     fn told(&mut self, reactor: &mut Reactor, event: Event) {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::Settings;
 use crate::net::back::farm::List;
-use crate::operator::{FleetSection, StoreSection};
+use crate::operator::{DutiesSection, FleetSection, StoreSection};
 use serde::Deserialize;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -37,6 +37,8 @@
     pub store: Option<StoreSection>,
     /// The other nodes; as above.
     pub fleet: Option<FleetSection>,
+    /// What one node does for all; as above.
+    pub duties: Option<DutiesSection>,
 }
 
 #[derive(Deserialize)]
@@ -148,6 +150,7 @@
             known: raw.known,
             store: None,
             fleet: None,
+            duties: None,
             settings: Settings::from_json(&raw.settings.to_string()).map_err(|e| e.to_string())?,
         })
     }
--- a/src/net/front/management.rs
+++ b/src/net/front/management.rs
@@ -39,6 +39,14 @@
     Members,
     /// Count the node of this name no more, which has failed.
     Forget(String),
+    /// Who votes, and who owns what for all.
+    Owners,
+    /// That this duty's owner gives it up.
+    Release(String),
+    /// That this node owns this duty.
+    Hand(String, String),
+    /// That this node votes, or does so no more.
+    Voter(String, bool),
 }
 
 /// Why a request is no call: the status, and what may be used instead.
@@ -63,6 +71,11 @@
         ["", "v1", "readyz"] => (Call::Ready, GET),
         ["", "v1", "fleet", "members"] => (Call::Members, GET),
         ["", "v1", "fleet", "members", id, "forget"] => (Call::Forget(name(id)?), POST),
+        ["", "v1", "fleet", "owners"] => (Call::Owners, GET),
+        ["", "v1", "fleet", "owners", duty, "release"] => (Call::Release(name(duty)?), POST),
+        ["", "v1", "fleet", "owners", duty, "hand", to] => (Call::Hand(name(duty)?, name(to)?), POST),
+        ["", "v1", "fleet", "voters", node, "add"] => (Call::Voter(name(node)?, true), POST),
+        ["", "v1", "fleet", "voters", node, "remove"] => (Call::Voter(name(node)?, false), POST),
         ["", "v1", "node", "drain"] => (Call::Drain, POST),
         ["", "v1", "node", "activate"] => (Call::Activate, POST),
         ["", "v1", "route-workers", id, "suspend"] => (Call::Suspend(name(id)?), POST),
@@ -190,6 +203,7 @@
             Reply::Nobody => self.tell(reactor, key, 404, "nobody has that name\n"),
             Reply::Held(at, of) => self.tell(reactor, key, 200, &format!("yes, at {at} of {of} nodes\n")),
             Reply::Lives => self.tell(reactor, key, 409, "it has not failed\n"),
+            Reply::NoDuties => self.tell(reactor, key, 404, "the section duties is not on here\n"),
             Reply::NoFleet => self.tell(reactor, key, 404, "this node knows no others\n"),
         }
     }
@@ -339,6 +353,13 @@
             ("POST", "/v1/fleet/members/n%2D1/forget", Ok(Call::Forget("n-1".into()))),
             ("GET", "/v1/fleet/members/n-1/forget", Err(405)),
             ("POST", "/v1/fleet/members//forget", Err(400)),
+            ("GET", "/v1/fleet/owners", Ok(Call::Owners)),
+            ("POST", "/v1/fleet/owners/bans/release", Ok(Call::Release("bans".into()))),
+            ("POST", "/v1/fleet/owners/bans/hand/n%2D1", Ok(Call::Hand("bans".into(), "n-1".into()))),
+            ("POST", "/v1/fleet/owners/bans/hand/", Err(400)),
+            ("POST", "/v1/fleet/voters/n-1/add", Ok(Call::Voter("n-1".into(), true))),
+            ("POST", "/v1/fleet/voters/n-1/remove", Ok(Call::Voter("n-1".into(), false))),
+            ("GET", "/v1/fleet/voters/n-1/remove", Err(405)),
             ("POST", "/v1/node", Err(404)),
             ("POST", "/v1/node/drain/", Err(404)),
             ("POST", "//v1/node/drain", Err(404)),
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -3,7 +3,7 @@
 use super::config::Config;
 use crate::interface::ListKind;
 use crate::net::back::farm::Farm;
-use crate::net::back::keeper::Keeper;
+use crate::net::back::keeper::{Found, Keeper};
 use crate::net::back::proxy_pass::ProxyPasses;
 use crate::net::front::management::{self, Call, Door};
 use crate::net::front::user_agent::{self, UserAgents};
@@ -11,10 +11,12 @@
 use crate::net::hub::keeping::Keeping;
 use crate::net::hub::lifecycle::{Lifecycle, Stage};
 use crate::net::hub::transaction::Hub;
+use crate::net::peers::affairs::Ask;
 use crate::net::peers::fleet::{self, Fleet};
 use crate::net::peers::handover::{self, Handover};
 use crate::net::peers::wires;
 use crate::net::words::{self, AgentId, Command, Input, Reply};
+use crate::operator::FleetSection;
 use polling::Event;
 use postproxy_handover::{Message, News, Role, Tale};
 use postproxy_members::Refused;
@@ -155,12 +157,12 @@
         let mut settings = config.settings;
         // Before anybody can call: a call-back that came earlier would meet a node that knows of nothing.
         let mut known = config.known;
-        let mut bans_kept = Vec::new();
+        let mut found = Found::default();
         let kept = match &config.store {
             Some(section) => {
-                let (keeper, mut ledger, list, bans) = Keeper::start(&mut reactor, section, &config.name)?;
-                bans_kept = bans;
-                if let Some(list) = list {
+                let (keeper, mut ledger, kept) = Keeper::start(&mut reactor, section, &config.name)?;
+                found = kept;
+                if let Some(list) = found.farm.take() {
                     known = list.or(known, config.discovery);
                 }
                 let nothing_ran = ledger.loaded();
@@ -219,11 +221,19 @@
         }
         let handover = folder
             .map(|folder| Handover::start(&mut reactor, &folder, &config.name, &config.listen.to_string()));
-        let fleet =
-            config.fleet.map(|section| Fleet::start(&mut reactor, section, &config.name, &bans_kept, shared));
-        let fleet = fleet.transpose()?;
+        let votes = |section: &FleetSection| section.voters.contains(&config.name);
+        if config.duties.is_some() && keeper.is_none() && config.fleet.as_ref().is_some_and(votes) {
+            return Err(
+                "duties: this node votes, and its promises must outlive it: it needs the section store"
+                    .into(),
+            );
+        }
+        let fleet = config
+            .fleet
+            .map(|section| Fleet::start(&mut reactor, section, config.duties, &config.name, found, shared));
+        let (fleet, events) = fleet.transpose()?.unzip();
         let (links, life, bans) = Default::default();
-        Ok(Self {
+        let mut node = Self {
             clock,
             reactor,
             hub,
@@ -244,7 +254,9 @@
             quiet,
             done,
             longest: 0.0,
-        })
+        };
+        node.told_by_fleet(events.unwrap_or_default());
+        Ok(node)
     }
 
     /// Has a byte on `signal` ask `source` for a new configuration; none keeps the old one. Of a new one,
@@ -329,9 +341,10 @@
             Owner::Pass => self.passes.ready(reactor, key, readable, writable),
             Owner::Farm => self.farm.ready(reactor, key, readable, writable),
             Owner::Store => {
-                if let Some(keeper) = &mut self.keeper {
-                    keeper.ready(reactor);
-                }
+                let written = self.keeper.as_mut().and_then(|keeper| keeper.ready(reactor));
+                let events =
+                    self.fleet.as_mut().zip(written).map(|(fleet, well)| fleet.written(reactor, well));
+                self.told_by_fleet(events.unwrap_or_default());
             }
             Owner::Signal if key == self.stop.key => self.stop(),
             Owner::Signal => self.reload(),
@@ -441,6 +454,26 @@
                     continue;
                 }
                 Call::Forget(name) => self.forget(&name),
+                Call::Owners => {
+                    let view = self.fleet.as_ref().and_then(|fleet| fleet.owners(self.reactor.now));
+                    if let (Some(door), Some(text)) = (&mut self.door, view) {
+                        door.tell(&mut self.reactor, key, 200, &text);
+                        continue;
+                    }
+                    Reply::NoDuties
+                }
+                Call::Release(duty) => {
+                    self.affair(key, Ask::Release(duty));
+                    continue;
+                }
+                Call::Hand(duty, to) => {
+                    self.affair(key, Ask::Hand(duty, to));
+                    continue;
+                }
+                Call::Voter(name, add) => {
+                    self.affair(key, Ask::Voter(name, add));
+                    continue;
+                }
                 Call::Members => {
                     let picture = self.fleet.as_ref().and_then(Fleet::picture);
                     let text = picture.and_then(|picture| serde_json::to_string(&picture).ok());
@@ -457,6 +490,16 @@
         }
     }
 
+    /// Has the nodes decide on the word of a caller at the door, who is told what came of it.
+    fn affair(&mut self, key: usize, ask: Ask) {
+        let events = self.fleet.as_mut().and_then(|fleet| fleet.ask(&mut self.reactor, key, ask));
+        match (events, &mut self.door) {
+            (Some(events), _) => self.told_by_fleet(events),
+            (None, Some(door)) => door.answer(&mut self.reactor, key, Reply::NoDuties),
+            (None, None) => {}
+        }
+    }
+
     /// Counts a node that has failed no more, on the word of a caller at the door.
     fn forget(&mut self, name: &str) -> Reply {
         let Some(fleet) = &mut self.fleet else { return Reply::NoFleet };
@@ -509,6 +552,18 @@
                     let events = self.fleet.as_mut().map(|fleet| fleet.adopt(&mut self.reactor, workers));
                     self.told_by_fleet(events.unwrap_or_default());
                 }
+                fleet::Event::Write(changes) => {
+                    let kept = self.keeper.as_mut().is_some_and(|keeper| keeper.keep_council(&changes));
+                    if !kept {
+                        let events = self.fleet.as_mut().map(|fleet| fleet.written(&mut self.reactor, false));
+                        self.told_by_fleet(events.unwrap_or_default());
+                    }
+                }
+                fleet::Event::Tell(key, status, words) => {
+                    if let Some(door) = &mut self.door {
+                        door.tell(&mut self.reactor, key, status, &words);
+                    }
+                }
                 fleet::Event::Held(key, at, of) => {
                     if let Some(door) = &mut self.door {
                         door.answer(&mut self.reactor, key, Reply::Held(at, of));
--- a/src/net/peers/fleet.rs
+++ b/src/net/peers/fleet.rs
@@ -1,9 +1,12 @@
 //! The other nodes: it moves datagrams and words over streams to and from the machine that knows who is there, and words
 //! what the operators' door is asked.
 
+use crate::net::back::keeper::Found;
 use crate::net::ground::reactor::{Due, Owner, Reactor};
+use crate::net::peers::affairs::{self, Affairs, Ask};
 use crate::net::peers::wires::{Heard, Wires};
-use crate::operator::FleetSection;
+use crate::operator::{DutiesSection, FleetSection};
+use postproxy_council::Change;
 use postproxy_members::{Life, Mark, Members, News, Out, Refused};
 use postproxy_streams::Streams;
 use serde::{Deserialize, Serialize};
@@ -36,6 +39,10 @@
     Held(usize, usize, usize),
     /// It knows what the fleet has said: what this node alone knows of workers is to be told.
     Settled,
+    /// Write these; [`Fleet::written`] is told what became of it.
+    Write(Vec<Change>),
+    /// Answer a caller at the door.
+    Tell(usize, u16, String),
 }
 
 /// A node as the door shows it.
@@ -51,6 +58,9 @@
     pub state: String,
     /// Whether it votes.
     pub voter: bool,
+    /// Whether it leads those that vote, as far as this node knows.
+    #[serde(default)]
+    pub leads: bool,
 }
 
 /// What the door shows of the fleet.
@@ -87,22 +97,39 @@
     key: usize,
     members: Members,
     wires: Wires,
+    /// What the nodes decide together, where that is on.
+    affairs: Option<Affairs>,
     /// When it is settled, if that is to come.
     settled: f64,
 }
 
 impl Place {
     /// Takes in what has come over streams.
-    fn heed(&mut self, now: f64, heard: Vec<Heard>, out: &mut Vec<Out>) {
+    fn heed(&mut self, now: f64, heard: Vec<Heard>, out: &mut Vec<Out>) -> Vec<affairs::Do> {
+        let mut todo = Vec::new();
         for heard in heard {
             match heard {
-                Heard::Word(_, _, word) => self.members.told(now, &word, out),
+                Heard::Word(from, _, word) => {
+                    match self.affairs.as_mut().and_then(|affairs| affairs.receive(now, &from, &word)) {
+                        Some(more) => todo.extend(more),
+                        None => self.members.told(now, &word, out),
+                    }
+                }
                 // What was dropped is told again when digests differ.
                 Heard::Anew(name) => {
-                    tracing::debug!(name, "a node in a new life: what waited for it is dropped")
+                    tracing::debug!(name, "a node in a new life: what waited for it is dropped");
+                    if let Some(affairs) = &mut self.affairs {
+                        affairs.reconnected(&name);
+                    }
                 }
             }
         }
+        todo
+    }
+
+    /// Where a node is, as far as this one knows.
+    fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.members.others().find(|(id, _)| &*id.name == name).map(|(id, _)| id.address)
     }
 
     /// Datagrams and streams dropped, by why.
@@ -115,6 +142,7 @@
 /// The other nodes.
 pub struct Fleet {
     section: FleetSection,
+    duties: Option<DutiesSection>,
     name: String,
     /// None while an older process of this node holds it, and after this one has let go.
     place: Option<Place>,
@@ -122,6 +150,8 @@
     over: bool,
     /// What is kept from an earlier life.
     restored: Vec<(String, Mark)>,
+    /// The same of what the nodes decide together.
+    council: Vec<(Vec<u8>, Vec<u8>)>,
     /// Looks asked for: the latest, and when it comes.
     look: (u64, f64),
     /// Callers at the door by their ticket, and when they are answered at the latest.
@@ -143,41 +173,45 @@
     pub fn start(
         reactor: &mut Reactor,
         section: FleetSection,
+        duties: Option<DutiesSection>,
         name: &str,
-        kept: &[u8],
+        kept: Found,
         shared: bool,
-    ) -> Result<Self, String> {
+    ) -> Result<(Self, Vec<Event>), String> {
         if name.is_empty() || name.len() > postproxy_members::MOST_NAME {
             return Err(format!("fleet: the node's name '{name}' must have 1 to 64 bytes"));
         }
-        let restored = postcard::from_bytes(kept).unwrap_or_default();
+        let restored = postcard::from_bytes(&kept.bans).unwrap_or_default();
         let (place, callers) = (None, HashMap::new());
         let (look, logged) = ((0, f64::INFINITY), (0, reactor.now));
         let name = name.to_owned();
         let mut fleet = Self {
             section,
+            duties,
             name,
             place,
             over: false,
             restored,
+            council: kept.council,
             look,
             callers,
             told: (0, (0, 1)),
             kept: 0,
             logged,
         };
+        let mut events = Vec::new();
         match fleet.take_place(reactor) {
-            Ok(()) => {}
+            Ok(todo) => events = fleet.do_all(reactor, todo),
             Err(error) if shared && error.kind() == ErrorKind::AddrInUse => {
                 tracing::info!(listen = %fleet.section.listen, "waiting for the place among the nodes");
             }
             Err(error) => return Err(format!("fleet.listen: {}: {error}", fleet.section.listen)),
         }
         fleet.plan(reactor);
-        Ok(fleet)
+        Ok((fleet, events))
     }
 
-    fn take_place(&mut self, reactor: &mut Reactor) -> std::io::Result<()> {
+    fn take_place(&mut self, reactor: &mut Reactor) -> std::io::Result<Vec<affairs::Do>> {
         // The life must differ from every other's: from the system's own chance, not from the seed.
         let seed = RandomState::new().build_hasher().finish();
         let (socket, wires) = self.sockets(reactor, seed)?;
@@ -190,8 +224,17 @@
         self.kept = members.digest();
         tracing::info!(name = self.name, address = %told, cluster = self.section.cluster, "among the nodes");
         let settled = reactor.now + SETTLED;
-        self.place = Some(Place { socket, key, members, wires, settled });
-        Ok(())
+        let council = self.duties.as_ref().map(|section| postproxy_council::Settings {
+            name: self.name.clone(),
+            cluster: self.section.cluster.clone(),
+            founders: self.section.voters.iter().cloned().collect(),
+            times: postproxy_council::Times { lease: section.lease_ms, ..Default::default() },
+            duties: ["bans".to_owned()].into(),
+        });
+        let kept = std::mem::take(&mut self.council);
+        let (affairs, todo) = council.map(|set| Affairs::new(set, reactor.now, seed, kept)).unzip();
+        self.place = Some(Place { socket, key, members, wires, affairs, settled });
+        Ok(todo.unwrap_or_default())
     }
 
     /// A socket for datagrams and a listener for streams, at one address.
@@ -216,10 +259,15 @@
             return;
         }
         let at = match &self.place {
-            Some(place) => [place.members.next(), place.wires.next(), Some(place.settled)]
-                .into_iter()
-                .flatten()
-                .fold(f64::INFINITY, f64::min),
+            Some(place) => [
+                place.members.next(),
+                place.wires.next(),
+                Some(place.settled),
+                place.affairs.as_ref().map(Affairs::next),
+            ]
+            .into_iter()
+            .flatten()
+            .fold(f64::INFINITY, f64::min),
             None => reactor.now + PLACE,
         };
         let at = self.callers.values().map(|(_, until)| *until).fold(at, f64::min);
@@ -235,12 +283,14 @@
             return Vec::new(); // an earlier one took its place
         }
         self.look.1 = f64::INFINITY;
+        let mut todo = Vec::new();
         if self.place.is_none() {
             match self.take_place(reactor) {
+                Ok(first) => todo = first,
                 Err(error) if error.kind() != ErrorKind::AddrInUse => {
                     tracing::error!(listen = %self.section.listen, %error, "no place among the nodes");
                 }
-                _ => {}
+                Err(_) => {}
             }
         }
         let (mut out, mut settled) = (Vec::new(), false);
@@ -250,26 +300,78 @@
                 place.members.press(reactor.now, *ticket, &mut out);
             }
             let heard = place.wires.due(reactor);
-            place.heed(reactor.now, heard, &mut out);
+            todo.extend(place.heed(reactor.now, heard, &mut out));
+            if let Some(affairs) = place.affairs.as_mut() {
+                todo.extend(affairs.turn(reactor.now));
+            }
             if place.settled <= reactor.now {
                 // As long as it is none of the nodes, it does not know what they have said.
                 settled = place.members.is_in();
                 place.settled = if settled { f64::INFINITY } else { reactor.now + SETTLED };
             }
         }
-        let mut events = self.carry(reactor, out);
+        let mut events = self.do_all(reactor, todo);
+        events.extend(self.carry(reactor, out));
         events.extend(settled.then_some(Event::Settled));
         events
     }
 
+    /// Does what is decided together.
+    fn do_all(&mut self, reactor: &mut Reactor, todo: Vec<affairs::Do>) -> Vec<Event> {
+        let mut events = Vec::new();
+        for one in todo {
+            match one {
+                affairs::Do::Send(to, bytes) => {
+                    let Some(place) = &mut self.place else { continue };
+                    // One that is not there hears nothing, and is told anew what counts when it is.
+                    let Some(at) = place.address(&to) else { continue };
+                    if place.wires.say(reactor, &to, at, bytes).is_err() {
+                        tracing::debug!(to, "too much waits for a node: not told");
+                        if let Some(affairs) = &mut place.affairs {
+                            affairs.reconnected(&to);
+                        }
+                    }
+                }
+                affairs::Do::Write(changes) => events.push(Event::Write(changes)),
+                affairs::Do::Tell(caller, status, words) => events.push(Event::Tell(caller, status, words)),
+            }
+        }
+        events
+    }
+
+    /// What became of a write that was given with [`Event::Write`].
+    pub fn written(&mut self, reactor: &mut Reactor, well: bool) -> Vec<Event> {
+        let affairs = self.place.as_mut().and_then(|place| place.affairs.as_mut());
+        let todo = affairs.map(|affairs| affairs.written(reactor.now, well)).unwrap_or_default();
+        let events = self.do_all(reactor, todo);
+        self.plan(reactor);
+        events
+    }
+
+    /// A caller at the door asks for something that the nodes decide together; `None` where they decide nothing.
+    pub fn ask(&mut self, reactor: &mut Reactor, caller: usize, ask: Ask) -> Option<Vec<Event>> {
+        let todo = self.place.as_mut()?.affairs.as_mut()?.ask(reactor.now, caller, ask);
+        let events = self.do_all(reactor, todo);
+        self.plan(reactor);
+        Some(events)
+    }
+
+    /// Who votes and who owns what, as the door shows it.
+    pub fn owners(&self, now: f64) -> Option<String> {
+        let view = self.place.as_ref()?.affairs.as_ref()?.view(now);
+        serde_json::to_string(&view).ok().map(|text| text + "\n")
+    }
+
     /// Datagrams have come, or a stream can go on.
     pub fn ready(&mut self, reactor: &mut Reactor, key: usize, readable: bool, writable: bool) -> Vec<Event> {
         let Some(place) = self.place.as_mut() else { return Vec::new() };
         if place.key != key {
             let heard = place.wires.ready(reactor, key, readable, writable);
             let mut out = Vec::new();
-            place.heed(reactor.now, heard, &mut out);
-            return self.carry(reactor, out);
+            let todo = place.heed(reactor.now, heard, &mut out);
+            let mut events = self.do_all(reactor, todo);
+            events.extend(self.carry(reactor, out));
+            return events;
         }
         let (mut out, mut bytes) = (Vec::new(), [0; 2048]);
         for _ in 0..MOST_READ {
@@ -362,13 +464,18 @@
     pub fn picture(&self) -> Option<Picture> {
         let place = self.place.as_ref()?;
         let members = &place.members;
-        let voter = |name: &str| self.section.voters.iter().any(|voter| voter == name);
+        let (voters, leader) = match &place.affairs {
+            Some(affairs) => affairs.voters(),
+            None => (self.section.voters.clone(), None),
+        };
+        let voter = |name: &str| voters.iter().any(|voter| voter == name);
         let shown = |(id, state): (&postproxy_members::Identity, &str)| Shown {
             name: id.name.to_string(),
             address: id.address,
             incarnation: id.incarnation,
             state: state.to_owned(),
             voter: voter(&id.name),
+            leads: leader.as_deref() == Some(&*id.name),
         };
         let word = |life| match life {
             Life::Alive => "alive",
@@ -421,6 +528,11 @@
                     if let (News::Failed(id) | News::Left(id), Some(place)) = (&news, &mut self.place) {
                         place.wires.forget(reactor, &id.name);
                     }
+                    if let News::Failed(id) | News::Left(id) | News::Up(id) | News::Moved(id) = &news
+                        && let Some(affairs) = self.place.as_mut().and_then(|place| place.affairs.as_mut())
+                    {
+                        affairs.reconnected(&id.name);
+                    }
                     log(&news);
                     changed = true;
                 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -18,6 +18,38 @@
     pub store: Option<StoreSection>,
     /// The other nodes.
     pub fleet: Option<FleetSection>,
+    /// What one node does for all.
+    pub duties: Option<DutiesSection>,
+}
+
+/// The section on what one node does for all.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct DutiesSection {
+    /// How long a node owns a duty without renewing it, in milliseconds; the same at all nodes.
+    pub lease_ms: u64,
+}
+
+impl Default for DutiesSection {
+    fn default() -> Self {
+        Self { lease_ms: 3000 }
+    }
+}
+
+impl DutiesSection {
+    fn check(&self, fleet: Option<&FleetSection>) -> Result<(), Problem> {
+        let wrong = |path: &str, what: &str| Err(Problem { path: path.into(), what: what.into() });
+        if !(1000..=60_000).contains(&self.lease_ms) {
+            return wrong("duties.lease_ms", "must be between 1000 and 60000");
+        }
+        match fleet {
+            None => wrong("duties", "needs the section fleet, which names the voters"),
+            Some(fleet) if fleet.voters.len() < 3 => {
+                wrong("fleet.voters", "must name 3, 5 or 7 nodes where duties is on")
+            }
+            Some(_) => Ok(()),
+        }
+    }
 }
 
 /// The section on the other nodes.
@@ -326,7 +358,8 @@
     fn check(&self) -> Result<(), Problem> {
         self.log.check().map_err(|what| Problem { path: "log.levels".into(), what })?;
         self.store.as_ref().map_or(Ok(()), StoreSection::check)?;
-        self.fleet.as_ref().map_or(Ok(()), FleetSection::check)
+        self.fleet.as_ref().map_or(Ok(()), FleetSection::check)?;
+        self.duties.as_ref().map_or(Ok(()), |duties| duties.check(self.fleet.as_ref()))
     }
 }
 
@@ -388,6 +421,13 @@
                 "fleet.answer_ms",
                 "half",
             ),
+            (r#"{"duties": {}}"#, "duties", "needs the section fleet"),
+            (
+                r#"{"duties": {}, "fleet": {"cluster": "c", "listen": "127.0.0.1:1", "voters": ["a"]}}"#,
+                "fleet.voters",
+                "3, 5 or 7",
+            ),
+            (r#"{"duties": {"lease_ms": 5}}"#, "duties.lease_ms", "between"),
         ];
         for (text, path, what) in cases {
             let problem = Operator::from_json(text).expect_err(text);
