--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -12,12 +12,14 @@
 mod net;
 mod process;
 mod schedule;
+mod timeline;
 
 pub use check::Broken;
 pub use history::{Event, History};
 pub use net::{Link, Net, addresses};
 pub use process::Process;
 pub use schedule::{Schedule, Step};
+pub use timeline::{Timeline, WIDEST};
 
 use std::time::{Duration, Instant};
 
