Tell nodes that are behind in the list what the others act on, and keep a trail of it

Need: one of three nodes whose discovery is stuck went on sending to a drained worker for ever, though every member it talks to knew better, and nobody could say who acts on what.

Change: section audit. crates/audit decides: versions of the list and the program by generation, number and digest of their meaning; trails with a chain of hashes; each node tells one other every 0.4 s and two at once after news; who is behind asks and gets the list over a stream. The farm lays it over its own where it is newer and of the generation that the configuration names; addresses stay the own discovery's. The dispatcher is told Passed, which says nothing of its own calls. GET /v1/fleet/versions, /v1/fleet/audit; forks are named with a remedy.

--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -137,6 +137,8 @@
     Ban(String, bool),
     /// Under this ticket: the ban holds at so many of so many nodes.
     Held(u64, usize, usize),
+    /// A word of another part of the program, from a member.
+    Part(Identity, Vec<u8>),
 }
 
 /// Where this node is on its way.
@@ -481,6 +483,15 @@
         self.told.borrow().bans.knows(worker)
     }
 
+    /// Says a word of another part of the program to a node that is there; it may get lost. `false` if it is too long, or there
+    /// is no such node.
+    pub fn say_part(&mut self, name: &str, word: &[u8], out: &mut Vec<Out>) -> bool {
+        let to = self.alive().find(|peer| &*peer.name == name).map(|peer| peer.address);
+        let Some(to) = to.filter(|_| word.len() <= packet::MOST_INSIDE && self.is_in()) else { return false };
+        self.send(to, &Message::Part(word.to_vec()), out);
+        true
+    }
+
     /// Leaves in good order.
     pub fn leave(&mut self, now: f64, out: &mut Vec<Out>) {
         self.advance(now);
@@ -910,6 +921,7 @@
                 }
             }
             Message::Gone(names) => self.learn_gone(names, out),
+            Message::Part(word) => out.push(Out::News(News::Part(from, word))),
             Message::Hold(ticket, marks) => {
                 self.learn(marks);
                 self.send(from.address, &Message::Held(ticket), out);
--- a/crates/members/src/packet.rs
+++ b/crates/members/src/packet.rs
@@ -46,6 +46,8 @@
     Hold(u64, Vec<(String, Mark)>),
     /// Nodes that operators have said will not come back, each up to this incarnation.
     Gone(Vec<(String, u64)>),
+    /// A word of another part of the program.
+    Part(Vec<u8>),
 }
 
 /// Why a datagram is dropped.
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -29,6 +29,7 @@
     config.store = operator.store;
     config.fleet = operator.fleet;
     config.duties = operator.duties;
+    config.audit = operator.audit;
     let name = config.name.clone();
     let mut node = Node::new(config, stop)?;
     let words = name.clone();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -258,6 +258,8 @@
     Full,
     /// The complete list as it was last held, perhaps stale.
     Cached,
+    /// Changed entries, passed on by another node: they tell nothing of the calls to the list.
+    Passed,
     /// A call to the list failed or the watch on it broke; no entries.
     Failed,
 }
--- a/src/net/back/farm.rs
+++ b/src/net/back/farm.rs
@@ -6,6 +6,7 @@
 use crate::net::ground::http::{self, Read};
 use crate::net::ground::reactor::{self, Due, Owner, Reactor};
 use crate::net::words::{Input, Member};
+use postproxy_audit::Digest;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
@@ -24,6 +25,7 @@
 const FIRST_AGAIN: f64 = 0.1;
 const MOST_AGAIN: f64 = 2.0;
 
+/// A member as discovery tells it, and as nodes pass it on.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct RawMember {
     id: String,
@@ -118,6 +120,25 @@
     key: usize,
 }
 
+/// What members mean, whatever their order and wherever this node reaches them.
+fn meaning<'a>(members: impl IntoIterator<Item = &'a RawMember>) -> Digest {
+    let line = |m: &RawMember| {
+        let RawMember { id, locality, flavor, cell, phase, size, up_since_ms, .. } = m;
+        format!("{id}\n{locality}\n{flavor}\n{cell}\n{phase}\n{size}\n{up_since_ms}")
+    };
+    let mut lines: Vec<String> = members.into_iter().filter(|m| m.phase != "terminated").map(line).collect();
+    lines.sort_unstable();
+    postproxy_audit::digest(lines.iter().map(String::as_bytes))
+}
+
+/// A member as another list has it, at the address that this node knows; one that the other list does not have is gone.
+fn overlaid(own: &RawMember, passed: &BTreeMap<String, RawMember>) -> RawMember {
+    match passed.get(&own.id) {
+        Some(newer) => RawMember { host_port: own.host_port.clone(), ..newer.clone() },
+        None => RawMember { phase: "terminated".to_owned(), ..own.clone() },
+    }
+}
+
 /// The watch on discovery's list.
 pub struct Farm {
     discovery: SocketAddr,
@@ -135,6 +156,10 @@
     dial_timeout: f64,
     /// While no list has been had at all: when to call again.
     hunger: Option<Backoff>,
+    /// A newer list than discovery has told, from another node: its version, and its members.
+    passed: Option<(u64, Digest, BTreeMap<String, RawMember>)>,
+    /// The version has changed since it was asked for last.
+    fresh: bool,
     /// The whole list, where it is to be kept, and whether it has changed since it was taken to be written.
     held: Option<(BTreeMap<String, RawMember>, bool)>,
 }
@@ -182,6 +207,8 @@
             call,
             dial_timeout,
             hunger,
+            passed: None,
+            fresh: true,
             held: None,
         }
     }
@@ -242,7 +269,7 @@
     pub fn moved(&mut self, reactor: &mut Reactor, discovery: SocketAddr) {
         if discovery != self.discovery {
             self.hang_up(reactor);
-            (self.discovery, self.revision) = (discovery, None);
+            (self.discovery, self.revision, self.passed) = (discovery, None, None);
             self.ask(reactor, 0.0);
         }
     }
@@ -326,7 +353,52 @@
         }
     }
 
-    fn told(&mut self, reactor: &mut Reactor, list: List) {
+    /// The version that this node acts on, by its number and what it means; `None` where it holds none.
+    pub fn version(&self) -> Option<(u64, Digest)> {
+        match &self.passed {
+            Some((number, digest, _)) => Some((*number, *digest)),
+            None => Some((self.revision?, meaning(self.held.as_ref()?.0.values()))),
+        }
+    }
+
+    /// Whether that may have changed since this was asked last.
+    pub fn fresh(&mut self) -> bool {
+        std::mem::take(&mut self.fresh)
+    }
+
+    /// Where discovery is.
+    pub fn discovery(&self) -> SocketAddr {
+        self.discovery
+    }
+
+    /// What this node acts on, to be passed on.
+    pub fn body(&self) -> Option<Vec<u8>> {
+        let (number, digest) = self.version()?;
+        let members =
+            self.passed.as_ref().map_or(self.held.as_ref().map(|held| &held.0), |passed| Some(&passed.2));
+        let members: Vec<&RawMember> = members?.values().collect();
+        postcard::to_stdvec(&(number, digest, members)).ok()
+    }
+
+    /// Takes a list that another node passes on, if it is newer than what this one acts on; its version, if it is. Where workers are
+    /// is this node's own discovery's to say: of one that it has not named nothing is known. Danger: what is older must never
+    /// take the place of newer.
+    pub fn take(&mut self, reactor: &mut Reactor, body: &[u8]) -> Option<(u64, Digest)> {
+        let (number, digest, members): (u64, Digest, Vec<RawMember>) = postcard::from_bytes(body).ok()?;
+        let newer = self.version().is_some_and(|(held, _)| number > held);
+        if !newer || meaning(&members) != digest {
+            return None;
+        }
+        let (held, _) = self.held.as_ref()?;
+        let passed: BTreeMap<String, RawMember> = members.into_iter().map(|m| (m.id.clone(), m)).collect();
+        let members = held.values().map(|own| overlaid(own, &passed)).collect();
+        let list = List { revision: number, complete: false, members };
+        reactor.queue.push_back(Input::Farm(ListKind::Passed, list.members(&self.settings)));
+        self.passed = Some((number, digest, passed));
+        Some((number, digest))
+    }
+
+    fn told(&mut self, reactor: &mut Reactor, mut list: List) {
         // Changes to another list than the one held can't be applied: the whole one is asked for at once.
         let stale = !list.complete && self.revision.is_none_or(|held| list.revision < held);
         self.revision = (!stale).then_some(list.revision);
@@ -345,6 +417,14 @@
                     }
                 }
             }
+            self.fresh = true;
+            // Discovery has caught up with what was passed on, or is still behind it.
+            if self.passed.as_ref().is_some_and(|(number, ..)| list.revision >= *number) {
+                self.passed = None;
+            }
+            if let Some((_, _, passed)) = &self.passed {
+                list.members.iter_mut().for_each(|member| *member = overlaid(member, passed));
+            }
             let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
             reactor.queue.push_back(Input::Farm(kind, list.members(&self.settings)));
         }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::Settings;
 use crate::net::back::farm::List;
-use crate::operator::{DutiesSection, FleetSection, StoreSection};
+use crate::operator::{AuditSection, DutiesSection, FleetSection, StoreSection};
 use serde::Deserialize;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -39,6 +39,8 @@
     pub fleet: Option<FleetSection>,
     /// What one node does for all; as above.
     pub duties: Option<DutiesSection>,
+    /// Which node acts on which version; as above.
+    pub audit: Option<AuditSection>,
 }
 
 #[derive(Deserialize)]
@@ -151,6 +153,7 @@
             store: None,
             fleet: None,
             duties: None,
+            audit: None,
             settings: Settings::from_json(&raw.settings.to_string()).map_err(|e| e.to_string())?,
         })
     }
--- a/src/net/front/management.rs
+++ b/src/net/front/management.rs
@@ -41,6 +41,10 @@
     Forget(String),
     /// Who votes, and who owns what for all.
     Owners,
+    /// Which node acts on which version.
+    Versions,
+    /// What this node has acted on.
+    Audit,
     /// That this duty's owner gives it up.
     Release(String),
     /// That this node owns this duty.
@@ -71,6 +75,8 @@
         ["", "v1", "readyz"] => (Call::Ready, GET),
         ["", "v1", "fleet", "members"] => (Call::Members, GET),
         ["", "v1", "fleet", "members", id, "forget"] => (Call::Forget(name(id)?), POST),
+        ["", "v1", "fleet", "versions"] => (Call::Versions, GET),
+        ["", "v1", "fleet", "audit"] => (Call::Audit, GET),
         ["", "v1", "fleet", "owners"] => (Call::Owners, GET),
         ["", "v1", "fleet", "owners", duty, "release"] => (Call::Release(name(duty)?), POST),
         ["", "v1", "fleet", "owners", duty, "hand", to] => (Call::Hand(name(duty)?, name(to)?), POST),
@@ -203,6 +209,7 @@
             Reply::Nobody => self.tell(reactor, key, 404, "nobody has that name\n"),
             Reply::Held(at, of) => self.tell(reactor, key, 200, &format!("yes, at {at} of {of} nodes\n")),
             Reply::Lives => self.tell(reactor, key, 409, "it has not failed\n"),
+            Reply::NoAudit => self.tell(reactor, key, 404, "the section audit is not on here\n"),
             Reply::NoDuties => self.tell(reactor, key, 404, "the section duties is not on here\n"),
             Reply::NoFleet => self.tell(reactor, key, 404, "this node knows no others\n"),
         }
@@ -353,6 +360,8 @@
             ("POST", "/v1/fleet/members/n%2D1/forget", Ok(Call::Forget("n-1".into()))),
             ("GET", "/v1/fleet/members/n-1/forget", Err(405)),
             ("POST", "/v1/fleet/members//forget", Err(400)),
+            ("GET", "/v1/fleet/versions", Ok(Call::Versions)),
+            ("GET", "/v1/fleet/audit", Ok(Call::Audit)),
             ("GET", "/v1/fleet/owners", Ok(Call::Owners)),
             ("POST", "/v1/fleet/owners/bans/release", Ok(Call::Release("bans".into()))),
             ("POST", "/v1/fleet/owners/bans/hand/n%2D1", Ok(Call::Hand("bans".into(), "n-1".into()))),
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -18,6 +18,7 @@
 use crate::net::words::{self, AgentId, Command, Input, Reply};
 use crate::operator::FleetSection;
 use polling::Event;
+use postproxy_audit::{Source, Stand};
 use postproxy_handover::{Message, News, Role, Tale};
 use postproxy_members::Refused;
 use std::collections::{HashMap, HashSet};
@@ -142,6 +143,9 @@
     done: bool,
     /// The longest turn of the loop so far, in seconds.
     longest: f64,
+    /// An audit is kept; and the passes started since the list's version changed.
+    audits: bool,
+    acts: u64,
 }
 
 impl Node {
@@ -207,7 +211,7 @@
         if !members.is_empty() {
             reactor.queue.push_back(Input::Farm(ListKind::Cached, members));
         }
-        if keeper.is_some() || shared {
+        if keeper.is_some() || shared || config.audit.is_some() {
             farm.hold(known.as_ref());
         }
         if keeper.is_some() {
@@ -228,11 +232,12 @@
                     .into(),
             );
         }
-        let fleet = config
-            .fleet
-            .map(|section| Fleet::start(&mut reactor, section, config.duties, &config.name, found, shared));
+        let fleet = config.fleet.map(|section| {
+            Fleet::start(&mut reactor, section, (config.duties, config.audit), &config.name, found, shared)
+        });
         let (fleet, events) = fleet.transpose()?.unzip();
         let (links, life, bans) = Default::default();
+        let audits = fleet.as_ref().is_some_and(Fleet::audits);
         let mut node = Self {
             clock,
             reactor,
@@ -254,6 +259,8 @@
             quiet,
             done,
             longest: 0.0,
+            audits,
+            acts: 0,
         };
         node.told_by_fleet(events.unwrap_or_default());
         Ok(node)
@@ -302,6 +309,9 @@
         self.farm.start(&mut self.reactor);
         while !self.done {
             self.work();
+            if self.audits && self.farm.fresh() {
+                self.adopted(Source::Own);
+            }
             if self.life.stage() == Stage::HandingOver {
                 self.pass_on();
             }
@@ -462,6 +472,17 @@
                     }
                     Reply::NoDuties
                 }
+                Call::Versions | Call::Audit => {
+                    let text = self.fleet.as_ref().and_then(|fleet| match call {
+                        Call::Audit => fleet.trail(self.acts),
+                        _ => fleet.versions(self.reactor.now),
+                    });
+                    if let (Some(door), Some(text)) = (&mut self.door, text) {
+                        door.tell(&mut self.reactor, key, 200, &text);
+                        continue;
+                    }
+                    Reply::NoAudit
+                }
                 Call::Release(duty) => {
                     self.affair(key, Ask::Release(duty));
                     continue;
@@ -490,6 +511,15 @@
         }
     }
 
+    /// The list that this node acts on may be another one than before.
+    fn adopted(&mut self, source: Source) {
+        let (Some(fleet), Some((number, digest))) = (&mut self.fleet, self.farm.version()) else { return };
+        let stand = Stand { generation: fleet.generation(self.farm.discovery()), number, digest };
+        let acts = std::mem::take(&mut self.acts);
+        let events = fleet.acts_on(&mut self.reactor, stand, source, acts);
+        self.told_by_fleet(events);
+    }
+
     /// Has the nodes decide on the word of a caller at the door, who is told what came of it.
     fn affair(&mut self, key: usize, ask: Ask) {
         let events = self.fleet.as_mut().and_then(|fleet| fleet.ask(&mut self.reactor, key, ask));
@@ -559,6 +589,18 @@
                         self.told_by_fleet(events.unwrap_or_default());
                     }
                 }
+                fleet::Event::Give(to, _) => {
+                    if let (Some(fleet), Some(body)) = (&mut self.fleet, self.farm.body()) {
+                        let generation = fleet.generation(self.farm.discovery());
+                        fleet.give(&mut self.reactor, &to, generation, &body);
+                    }
+                }
+                fleet::Event::Passed(from, generation, body) => {
+                    let own = self.fleet.as_ref().map(|fleet| fleet.generation(self.farm.discovery()));
+                    if own == Some(generation) && self.farm.take(&mut self.reactor, &body).is_some() {
+                        self.adopted(Source::Peer(from));
+                    }
+                }
                 fleet::Event::Tell(key, status, words) => {
                     if let Some(door) = &mut self.door {
                         door.tell(&mut self.reactor, key, status, &words);
@@ -863,6 +905,7 @@
                 let reactor = &mut self.reactor;
                 match command {
                     Command::Start(pass, worker, payload, wait) => {
+                        self.acts += 1;
                         self.passes.start(reactor, pass, worker, &payload, wait);
                     }
                     Command::Abandon(pass, worker, payload, accepted) => {
--- a/src/net/peers/fleet.rs
+++ b/src/net/peers/fleet.rs
@@ -4,8 +4,10 @@
 use crate::net::back::keeper::Found;
 use crate::net::ground::reactor::{Due, Owner, Reactor};
 use crate::net::peers::affairs::{self, Affairs, Ask};
+use crate::net::peers::audit::{self, Audit};
 use crate::net::peers::wires::{Heard, Wires};
-use crate::operator::{DutiesSection, FleetSection};
+use crate::operator::{AuditSection, DutiesSection, FleetSection};
+use postproxy_audit::{Kind, Source, Stand};
 use postproxy_council::Change;
 use postproxy_members::{Life, Mark, Members, News, Out, Refused};
 use postproxy_streams::Streams;
@@ -43,6 +45,10 @@
     Write(Vec<Change>),
     /// Answer a caller at the door.
     Tell(usize, u16, String),
+    /// That node wants what this one holds of a kind: [`Fleet::give`].
+    Give(String, Kind),
+    /// That node passes on a list of this generation.
+    Passed(String, u64, Vec<u8>),
 }
 
 /// A node as the door shows it.
@@ -97,8 +103,12 @@
     key: usize,
     members: Members,
     wires: Wires,
+    /// Lists that others have passed on, to be looked at: by whom, of which generation.
+    passed: Vec<(String, u64, Vec<u8>)>,
     /// What the nodes decide together, where that is on.
     affairs: Option<Affairs>,
+    /// Which node acts on which version, where that is on.
+    audit: Option<Audit>,
     /// When it is settled, if that is to come.
     settled: f64,
 }
@@ -109,6 +119,14 @@
         let mut todo = Vec::new();
         for heard in heard {
             match heard {
+                Heard::Word(from, _, word) if word.starts_with(&audit::PREFIX) => {
+                    if self.audit.is_some()
+                        && let Ok((generation, body)) =
+                            postcard::take_from_bytes::<u64>(&word[audit::PREFIX.len()..])
+                    {
+                        self.passed.push((from, generation, body.to_vec()));
+                    }
+                }
                 Heard::Word(from, _, word) => {
                     match self.affairs.as_mut().and_then(|affairs| affairs.receive(now, &from, &word)) {
                         Some(more) => todo.extend(more),
@@ -143,6 +161,7 @@
 pub struct Fleet {
     section: FleetSection,
     duties: Option<DutiesSection>,
+    audit: Option<AuditSection>,
     name: String,
     /// None while an older process of this node holds it, and after this one has let go.
     place: Option<Place>,
@@ -173,7 +192,7 @@
     pub fn start(
         reactor: &mut Reactor,
         section: FleetSection,
-        duties: Option<DutiesSection>,
+        (duties, audit): (Option<DutiesSection>, Option<AuditSection>),
         name: &str,
         kept: Found,
         shared: bool,
@@ -188,6 +207,7 @@
         let mut fleet = Self {
             section,
             duties,
+            audit,
             name,
             place,
             over: false,
@@ -233,7 +253,12 @@
         });
         let kept = std::mem::take(&mut self.council);
         let (affairs, todo) = council.map(|set| Affairs::new(set, reactor.now, seed, kept)).unzip();
-        self.place = Some(Place { socket, key, members, wires, affairs, settled });
+        let audit = self.audit.as_ref().map(|section| {
+            let set = postproxy_audit::Settings { beat_ms: section.beat_ms };
+            Audit::new(set, &self.name, reactor.now, seed)
+        });
+        let passed = Vec::new();
+        self.place = Some(Place { socket, key, members, wires, passed, affairs, audit, settled });
         Ok(todo.unwrap_or_default())
     }
 
@@ -264,6 +289,7 @@
                 place.wires.next(),
                 Some(place.settled),
                 place.affairs.as_ref().map(Affairs::next),
+                place.audit.as_ref().map(Audit::next),
             ]
             .into_iter()
             .flatten()
@@ -293,7 +319,7 @@
                 Err(_) => {}
             }
         }
-        let (mut out, mut settled) = (Vec::new(), false);
+        let (mut out, mut settled, mut told) = (Vec::new(), false, Vec::new());
         if let Some(place) = &mut self.place {
             place.members.due(reactor.now, &mut out);
             for (ticket, _) in self.callers.iter().filter(|(_, (_, until))| *until <= reactor.now) {
@@ -304,6 +330,9 @@
             if let Some(affairs) = place.affairs.as_mut() {
                 todo.extend(affairs.turn(reactor.now));
             }
+            if let Some(audit) = place.audit.as_mut() {
+                told = audit.due(reactor.now);
+            }
             if place.settled <= reactor.now {
                 // As long as it is none of the nodes, it does not know what they have said.
                 settled = place.members.is_in();
@@ -311,11 +340,68 @@
             }
         }
         let mut events = self.do_all(reactor, todo);
+        events.extend(self.tell(told, &mut out));
         events.extend(self.carry(reactor, out));
         events.extend(settled.then_some(Event::Settled));
         events
     }
 
+    /// Says what the audit wants said; what is wanted of this node goes up.
+    fn tell(&mut self, told: Vec<audit::Do>, out: &mut Vec<Out>) -> Vec<Event> {
+        let mut events = Vec::new();
+        for one in told {
+            match (one, &mut self.place) {
+                (audit::Do::Say(to, bytes), Some(place)) => {
+                    place.members.say_part(&to, &bytes, out);
+                }
+                (audit::Do::Give(to, kind), _) => events.push(Event::Give(to, kind)),
+                (audit::Do::Say(..), None) => {}
+            }
+        }
+        events
+    }
+
+    /// Whether an audit is kept.
+    pub fn audits(&self) -> bool {
+        self.audit.is_some()
+    }
+
+    /// The node acts on this list from now on, after so many acts on what it held before.
+    pub fn acts_on(&mut self, reactor: &mut Reactor, stand: Stand, source: Source, acts: u64) -> Vec<Event> {
+        let audit = self.place.as_mut().and_then(|place| place.audit.as_mut());
+        let told = audit.map(|audit| audit.adopt(reactor.now, Kind::List, stand, source, acts));
+        let mut out = Vec::new();
+        let mut events = self.tell(told.unwrap_or_default(), &mut out);
+        events.extend(self.carry(reactor, out));
+        events
+    }
+
+    /// The generation of lists that this node's configuration names.
+    pub fn generation(&self, discovery: SocketAddr) -> u64 {
+        let name = self.audit.as_ref().and_then(|section| section.discovery.clone());
+        audit::generation(&name.unwrap_or_else(|| discovery.to_string()))
+    }
+
+    /// Passes a list of this generation on.
+    pub fn give(&mut self, reactor: &mut Reactor, to: &str, generation: u64, body: &[u8]) {
+        let Some(place) = &mut self.place else { return };
+        let word = postcard::to_extend(&generation, audit::PREFIX.to_vec()).unwrap_or_default();
+        if let Some(at) = place.address(to) {
+            // One that is too much or gets lost is asked for again.
+            let _ = place.wires.say(reactor, to, at, [&word[..], body].concat());
+        }
+    }
+
+    /// Which node acts on which version, as the door shows it.
+    pub fn versions(&self, now: f64) -> Option<String> {
+        Some(self.place.as_ref()?.audit.as_ref()?.versions(now))
+    }
+
+    /// What this node has acted on, as the door shows it.
+    pub fn trail(&self, acts: u64) -> Option<String> {
+        Some(self.place.as_ref()?.audit.as_ref()?.trail(acts))
+    }
+
     /// Does what is decided together.
     fn do_all(&mut self, reactor: &mut Reactor, todo: Vec<affairs::Do>) -> Vec<Event> {
         let mut events = Vec::new();
@@ -503,9 +589,9 @@
 
     /// Sends what is to be sent, logs what is new, and gives what the node is to know.
     fn carry(&mut self, reactor: &mut Reactor, out: Vec<Out>) -> Vec<Event> {
-        let (mut events, mut changed) = (Vec::new(), false);
-        for out in out {
-            match out {
+        let (mut events, mut changed, mut out) = (Vec::new(), false, std::collections::VecDeque::from(out));
+        while let Some(one) = out.pop_front() {
+            match one {
                 Out::Send(to, bytes) => {
                     if let Some(place) = &self.place {
                         // One that can't be sent is one that is lost.
@@ -518,6 +604,13 @@
                         tracing::warn!(name = &*to.name, "too much waits for a node: not told");
                     }
                 }
+                Out::News(News::Part(from, word)) => {
+                    let audit = self.place.as_mut().and_then(|place| place.audit.as_mut());
+                    let told = audit.map(|audit| audit.heard(reactor.now, &from.name, &word));
+                    let mut more = Vec::new();
+                    events.extend(self.tell(told.unwrap_or_default(), &mut more));
+                    out.extend(more);
+                }
                 Out::News(News::Ban(worker, out)) => events.push(Event::Ban(worker, !out)),
                 Out::News(News::Held(ticket, at, of)) => {
                     if let Some((caller, _)) = self.callers.remove(&ticket) {
@@ -542,10 +635,20 @@
         if let Some(place) = self.place.as_ref().filter(|_| changed) {
             let count = place.members.count();
             let told = (if count > 1 { count } else { 0 }, place.members.place());
+            let there = |(id, life): (&postproxy_members::Identity, Life)| {
+                matches!(life, Life::Alive | Life::Suspect).then(|| id.name.to_string())
+            };
+            let peers = place.members.others().filter_map(there).collect();
+            if let Some(audit) = self.place.as_mut().and_then(|place| place.audit.as_mut()) {
+                audit.peers(peers);
+            }
             if std::mem::replace(&mut self.told, told) != told {
                 events.push(Event::Nodes(told.0, told.1));
             }
         }
+        if let Some(place) = &mut self.place {
+            events.extend(place.passed.drain(..).map(|(from, of, body)| Event::Passed(from, of, body)));
+        }
         self.log_drops(reactor.now);
         self.plan(reactor);
         events
@@ -585,6 +688,6 @@
         News::Standing(standing) => {
             tracing::info!(%standing, why = standing.reasons().join("; "), "how things stand");
         }
-        News::Ban(..) | News::Held(..) => {}
+        News::Ban(..) | News::Held(..) | News::Part(..) => {}
     }
 }
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -2,6 +2,7 @@
 //! elsewhere.
 
 pub mod affairs;
+pub mod audit;
 pub mod fleet;
 pub mod handover;
 pub mod wires;
--- a/src/net/words.rs
+++ b/src/net/words.rs
@@ -246,6 +246,8 @@
     Held(usize, usize),
     /// This node knows no others.
     NoFleet,
+    /// This node keeps no audit.
+    NoAudit,
     /// This node does nothing together with others.
     NoDuties,
     /// A node that is to be forgotten has not failed.
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -20,6 +20,40 @@
     pub fleet: Option<FleetSection>,
     /// What one node does for all.
     pub duties: Option<DutiesSection>,
+    /// Which node acts on which version.
+    pub audit: Option<AuditSection>,
+}
+
+/// The section on which node acts on which version.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct AuditSection {
+    /// How often another node is told what this one holds, in milliseconds.
+    pub beat_ms: u64,
+    /// A name for discovery: lists are passed on between nodes that name it alike. By default its address in the configuration.
+    pub discovery: Option<String>,
+}
+
+impl Default for AuditSection {
+    fn default() -> Self {
+        Self { beat_ms: 400, discovery: None }
+    }
+}
+
+impl AuditSection {
+    fn check(&self, fleet: bool) -> Result<(), Problem> {
+        let wrong = |path: &str, what: &str| Err(Problem { path: path.into(), what: what.into() });
+        if !fleet {
+            return wrong("audit", "needs the section fleet");
+        }
+        if !(50..=60_000).contains(&self.beat_ms) {
+            return wrong("audit.beat_ms", "must be between 50 and 60000");
+        }
+        if self.discovery.as_ref().is_some_and(|name| name.is_empty() || name.len() > 256) {
+            return wrong("audit.discovery", "must be a name of 1 to 256 bytes");
+        }
+        Ok(())
+    }
 }
 
 /// The section on what one node does for all.
@@ -359,7 +393,8 @@
         self.log.check().map_err(|what| Problem { path: "log.levels".into(), what })?;
         self.store.as_ref().map_or(Ok(()), StoreSection::check)?;
         self.fleet.as_ref().map_or(Ok(()), FleetSection::check)?;
-        self.duties.as_ref().map_or(Ok(()), |duties| duties.check(self.fleet.as_ref()))
+        self.duties.as_ref().map_or(Ok(()), |duties| duties.check(self.fleet.as_ref()))?;
+        self.audit.as_ref().map_or(Ok(()), |audit| audit.check(self.fleet.is_some()))
     }
 }
 
@@ -421,6 +456,12 @@
                 "fleet.answer_ms",
                 "half",
             ),
+            (r#"{"audit": {}}"#, "audit", "needs the section fleet"),
+            (
+                r#"{"audit": {"beat_ms": 0}, "fleet": {"cluster": "c", "listen": "127.0.0.1:1", "voters": ["a"]}}"#,
+                "audit.beat_ms",
+                "between",
+            ),
             (r#"{"duties": {}}"#, "duties", "needs the section fleet"),
             (
                 r#"{"duties": {}, "fleet": {"cluster": "c", "listen": "127.0.0.1:1", "voters": ["a"]}}"#,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -639,11 +639,11 @@
         if kind == ListKind::Cached {
             let spread = self.rng.uniform(); // all may start at once: calls spread over the time allowed
             self.ask_in(spread * 0.4 * self.set.must_ask_in);
-        } else {
+        } else if kind != ListKind::Passed {
             (self.known.asks_failed, self.known.watching) = (0, true);
         }
         let known = &mut self.known;
-        if kind != ListKind::Delta {
+        if !matches!(kind, ListKind::Delta | ListKind::Passed) {
             known.workers.iter_mut().for_each(|w| w.entry.health = Health::Gone);
         }
         for entry in entries {
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -85,11 +85,13 @@
     }
 }
 
-/// Discovery with a list that does not change.
-#[derive(Debug)]
+/// Discovery: a list whose workers are in service until they are told to drain.
+#[derive(Clone, Debug)]
 pub struct Discovery {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Its revision, and those that drain, each since when.
+    list: Arc<Mutex<(u64, HashMap<String, u64>)>>,
 }
 
 impl Discovery {
@@ -99,21 +101,65 @@
     ///
     /// If there is no port.
     pub fn start(workers: &[Worker]) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), workers)
+    }
+
+    /// The same at this address.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be listened there.
+    pub fn start_at(at: SocketAddr, workers: &[Worker]) -> io::Result<Self> {
+        let listener = TcpListener::bind(at)?;
         let address = listener.local_addr()?;
         let member = |worker: &Worker| {
             serde_json::json!({"id": worker.name, "host_port": worker.address.to_string(), "locality": "riga",
                 "flavor": "std-4", "cell": 1, "phase": "in_service", "size": 1.0, "up_since_ms": 0})
         };
         let members: Vec<serde_json::Value> = workers.iter().map(member).collect();
-        let whole = serde_json::json!({"revision": 1, "complete": true, "members": members}).to_string();
+        let list = Arc::new(Mutex::new((1, HashMap::new())));
+        let shared = list.clone();
+        let now = move |since: Option<u64>| {
+            let (revision, drains) = lock(&shared).clone();
+            let drained = |m: &serde_json::Value| m["id"].as_str().and_then(|id| drains.get(id)).copied();
+            let changed =
+                |m: &&serde_json::Value| since.is_none_or(|since| drained(m).is_some_and(|at| at > since));
+            let told = |m: &serde_json::Value| {
+                let phase = if drained(m).is_some() { "terminating" } else { "in_service" };
+                let mut member = m.clone();
+                member["phase"] = phase.into();
+                member
+            };
+            let members: Vec<serde_json::Value> = members.iter().filter(changed).map(told).collect();
+            let text =
+                serde_json::json!({"revision": revision, "complete": since.is_none(), "members": members});
+            (revision, text.to_string())
+        };
         serve(listener, move |request| {
-            let wait = request.target.split("timeout_ms=").nth(1).and_then(|ms| ms.parse().ok());
-            let Some(wait) = wait else { return (200, whole.clone()) };
-            thread::sleep(Duration::from_millis(wait));
-            (200, r#"{"revision":1,"complete":false,"members":[]}"#.to_owned())
+            let number = |name: &str| {
+                let text = request.target.split(name).nth(1)?;
+                text.split('&').next()?.parse::<u64>().ok()
+            };
+            let (Some(since), Some(wait)) = (number("since="), number("timeout_ms=")) else {
+                return (200, now(None).1);
+            };
+            for _ in 0..=wait / 5 {
+                if now(Some(since)).0 > since {
+                    break;
+                }
+                thread::sleep(Duration::from_millis(5));
+            }
+            (200, now(Some(since)).1)
         });
-        Ok(Self { address })
+        Ok(Self { address, list })
+    }
+
+    /// The worker of this name is to get nothing new.
+    pub fn drain(&self, worker: &str) {
+        let mut list = lock(&self.list);
+        list.0 += 1;
+        let revision = list.0;
+        list.1.insert(worker.to_owned(), revision);
     }
 }
 
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -34,6 +34,8 @@
     pub workers: Vec<Worker>,
     /// Words on workers that a node has said yes to: the worker, and whether it is to be used again.
     pub words: Vec<(usize, bool)>,
+    /// The discovery of all that have none of their own.
+    pub discovery: Discovery,
 }
 
 fn folder() -> PathBuf {
@@ -82,9 +84,11 @@
             let mine = folder.join(&name);
             std::fs::create_dir_all(&mine).expect("a folder");
             let (client, door) = (SocketAddr::new(own[n], 8080), SocketAddr::new(own[n], 8081));
+            // Some nodes have a discovery of their own.
+            let own_discovery = sections["discovery_of"][n.to_string()].as_str().map(str::to_owned);
             let config = serde_json::json!({
                 "name": name, "listen": client.to_string(), "mgmt": door.to_string(),
-                "discovery": discovery.address.to_string(), "seed": "7",
+                "discovery": own_discovery.unwrap_or(discovery.address.to_string()), "seed": "7",
                 "settings": {"balancers": count, "tick": 0.002, "discovery": "on_request", "dcs": ["riga"],
                     "machine-types": ["std-4"], "services": [{"name": "reroute", "effect": "pure", "deadline": 6.0}],
                     "limits": {"cancel": true, "conn-idle": 5.0, "dial-timeout": 0.25, "max-attempts": 3}}
@@ -92,7 +96,7 @@
             std::fs::write(mine.join("config.json"), config.to_string()).expect("it is written");
             let mut operator = serde_json::json!({"fleet": {"cluster": "riga", "listen": at[n].to_string(),
                 "advertise": net.relay(n).to_string(), "seeds": seeds, "voters": voters}});
-            for (name, section) in sections.as_object().into_iter().flatten().filter(|(name, _)| *name != "voters") {
+            for (name, section) in sections.as_object().into_iter().flatten().filter(|(name, _)| !["voters", "discovery_of"].contains(&name.as_str())) {
                 operator[name] = section.clone();
             }
             if stored {
@@ -102,7 +106,8 @@
             Node { name, process: None, client, door, folder: mine, listener: None }
         });
         let nodes = nodes.collect();
-        let mut fleet = Self { nodes, net, history: History::default(), folder, workers, words: Vec::new() };
+        let mut fleet =
+            Self { nodes, net, history: History::default(), folder, workers, words: Vec::new(), discovery };
         (0..count).for_each(|n| fleet.start(n));
         fleet.whole();
         fleet
