Show callers at the door a text or a reason in one place; one clock for parts

Cause, found on the last reading: three calls (members, owners, versions and audit) each worded 'the text, or why there is none' anew, and the time in milliseconds stood in two files.

Change: show() in src/net/node.rs serves all of them; ms() of affairs serves audit. Behaviour stays.

Measured: clippy, the library's tests and those of audit, layers, errors and operations passed.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -465,23 +465,17 @@
                 }
                 Call::Forget(name) => self.forget(&name),
                 Call::Owners => {
-                    let view = self.fleet.as_ref().and_then(|fleet| fleet.owners(self.reactor.now));
-                    if let (Some(door), Some(text)) = (&mut self.door, view) {
-                        door.tell(&mut self.reactor, key, 200, &text);
-                        continue;
-                    }
-                    Reply::NoDuties
+                    let text = self.fleet.as_ref().and_then(|fleet| fleet.owners(self.reactor.now));
+                    self.show(key, text, Reply::NoDuties);
+                    continue;
                 }
                 Call::Versions | Call::Audit => {
                     let text = self.fleet.as_ref().and_then(|fleet| match call {
                         Call::Audit => fleet.trail(self.acts),
                         _ => fleet.versions(self.reactor.now),
                     });
-                    if let (Some(door), Some(text)) = (&mut self.door, text) {
-                        door.tell(&mut self.reactor, key, 200, &text);
-                        continue;
-                    }
-                    Reply::NoAudit
+                    self.show(key, text, Reply::NoAudit);
+                    continue;
                 }
                 Call::Release(duty) => {
                     self.affair(key, Ask::Release(duty));
@@ -498,11 +492,8 @@
                 Call::Members => {
                     let picture = self.fleet.as_ref().and_then(Fleet::picture);
                     let text = picture.and_then(|picture| serde_json::to_string(&picture).ok());
-                    if let (Some(door), Some(text)) = (&mut self.door, text) {
-                        door.tell(&mut self.reactor, key, 200, &(text + "\n"));
-                        continue;
-                    }
-                    Reply::NoFleet
+                    self.show(key, text.map(|text| text + "\n"), Reply::NoFleet);
+                    continue;
                 }
             };
             if let Some(door) = &mut self.door {
@@ -511,6 +502,15 @@
         }
     }
 
+    /// Shows a caller at the door this, or says why there is nothing to show.
+    fn show(&mut self, key: usize, text: Option<String>, none: Reply) {
+        match (&mut self.door, text) {
+            (Some(door), Some(text)) => door.tell(&mut self.reactor, key, 200, &text),
+            (Some(door), None) => door.answer(&mut self.reactor, key, none),
+            (None, _) => {}
+        }
+    }
+
     /// The list that this node acts on may be another one than before.
     fn adopted(&mut self, source: Source) {
         let (Some(fleet), Some((number, digest))) = (&mut self.fleet, self.farm.version()) else { return };
--- a/src/net/peers/affairs.rs
+++ b/src/net/peers/affairs.rs
@@ -83,7 +83,8 @@
     lost: HashSet<String>,
 }
 
-fn ms(now: f64) -> u64 {
+/// The time as the machines beside the jobs count it, in milliseconds.
+pub(super) fn ms(now: f64) -> u64 {
     (now * 1000.0) as u64
 }
 
--- a/src/net/peers/audit.rs
+++ b/src/net/peers/audit.rs
@@ -1,6 +1,7 @@
 //! Which node acts on which version: it carries words and the time to and from the machine in `postproxy-audit`, and words what the
 //! operators' door is asked of it.
 
+use super::affairs::ms;
 use postproxy_audit::{Desk, Event, Kind, Out, Record, Settings, Source, Stand, Word};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -55,10 +56,6 @@
     name: String,
 }
 
-fn ms(now: f64) -> u64 {
-    (now * 1000.0) as u64
-}
-
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
