Send a keyed job again only where it arrives inside its window, a connection later

Checked: all are of the keyed class and after a first attempt that may have run; none of the class that may not repeat. Cause: may_send compared the time of the decision with 0.9 of the window; the attempt then had to be dialled, for up to dial-timeout, and arrived outside.

Change: one figure, window_ends, for may_send and hope, which takes the time of a connection off. A window shorter than that counts as none.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -283,7 +283,7 @@
                 Effect::Keyed => r.attempts.iter().filter(|a| a.state != State::NeverRan).all(|a| {
                     let (zone, cell) = (a.home.0 == worker.entry.zone, a.home.1 == worker.entry.cell);
                     let inside = class.group == Group::All || zone && (cell || class.group == Group::Zone);
-                    inside && now - a.sent < class.window * WINDOW_SHARE
+                    inside && now < self.window_ends(class, a)
                 }),
             };
         // Placement: only the kinds and zones that the class is bound to, whatever their state.
@@ -478,10 +478,15 @@
             _ if r.attempts.len() >= self.set.max_attempts as usize => f64::NEG_INFINITY,
             Effect::Safe => end,
             Effect::Unsafe => ran.next().map_or(end, |_| f64::NEG_INFINITY),
-            Effect::Keyed => ran.map(|a| a.sent + WINDOW_SHARE * class.window).fold(end, f64::min),
+            Effect::Keyed => ran.map(|a| self.window_ends(class, a)).fold(end, f64::min),
         }
     }
 
+    /// Until when a keyed job may be sent again. Danger: what counts is when it arrives, a connection later.
+    fn window_ends(&self, class: &Class, first: &Attempt) -> f64 {
+        first.sent + WINDOW_SHARE * class.window - self.set.dial_timeout
+    }
+
     /// Worth for a unit of work, against the best class.
     fn rank(&self, r: &Request) -> f64 {
         let work = |i: usize| if self.set.worth_by_work { 1.0 } else { self.known.usual_of[i] };
