Take attempts back that are not written when a list says that their worker leaves

The hub's Input::Farm told the dispatcher alone; only an operator's ban took back what was not written. Both use the same lines now. It never ran, so that it goes elsewhere; what is written whole goes on.

Test: changes and whole lists, written and not, in tests/transaction.rs; it fails without the new lines (no Withdraw).

--- a/src/net/hub/transaction.rs
+++ b/src/net/hub/transaction.rs
@@ -3,8 +3,8 @@
 
 use super::keeping::{Asker, Care, Keeping};
 use crate::interface::{
-    Action, Carried, Elsewhere, Entry, Event, NewRequest, Note, Outcome, RequestId, Settings, SettingsError,
-    WorkerId, sound,
+    Action, Carried, Elsewhere, Entry, Event, Health, ListKind, NewRequest, Note, Outcome, RequestId,
+    Settings, SettingsError, WorkerId, sound,
 };
 use crate::net::words::{
     AgentId, Answer, Command, Due, Input, JobCall, JobState, Load, Member, PassEnd, PassId, Payload, Reply,
@@ -302,8 +302,10 @@
                 self.write(anew, Wait::Nobody(String::new()));
             }
             Input::Farm(kind, members) => {
-                let entries = members.into_iter().map(|member| self.member(member)).collect();
+                let entries: Vec<Entry> = members.into_iter().map(|member| self.member(member)).collect();
+                let unwritten = self.unwritten_to(&self.leaving(kind, &entries));
                 self.events.push_back(Event::List { kind, entries });
+                self.withdraw(now, unwritten, out);
             }
             Input::Use(caller, name, again) => {
                 let reply = self.employ(now, &name, again, out);
@@ -581,15 +583,39 @@
         self.events.push_back(Event::Use { worker: worker_id(worker), again });
         out.push(Command::Forget(self.workers[worker]));
         if !again {
-            let to_it = |(&request, t): (&RequestId, &Transaction)| {
-                t.unwritten(request).find(|u| t.attempts[u.attempt as usize].worker == worker)
-            };
-            let unwritten = self.transactions.iter().filter_map(to_it).collect();
+            let unwritten = self.unwritten_to(&BTreeSet::from([worker]));
             self.withdraw(now, unwritten, out);
         }
         Reply::Yes
     }
 
+    /// Workers that a list says want nothing new. What it does not name has gone, if it is the whole list.
+    fn leaving(&self, kind: ListKind, entries: &[Entry]) -> BTreeSet<usize> {
+        let of = |wanted: bool| {
+            let fits = move |e: &&Entry| (e.health == Health::Ready) == wanted;
+            entries.iter().filter(fits).map(|e| number(e.worker)).collect::<BTreeSet<usize>>()
+        };
+        match kind {
+            ListKind::Full => {
+                let ready = of(true);
+                (0..self.workers.len()).filter(|worker| !ready.contains(worker)).collect()
+            }
+            _ => of(false),
+        }
+    }
+
+    /// Danger: what counts for a drain is the first byte, and a connection may take longer to come up than the drain allows.
+    fn unwritten_to(&self, workers: &BTreeSet<usize>) -> Vec<Unwritten> {
+        if workers.is_empty() {
+            return Vec::new();
+        }
+        let to_them = |(&request, t): (&RequestId, &Transaction)| {
+            let to_one = |u: &Unwritten| workers.contains(&t.attempts[u.attempt as usize].worker);
+            t.unwritten(request).filter(to_one).collect::<Vec<_>>()
+        };
+        self.transactions.iter().flat_map(to_them).collect()
+    }
+
     /// Takes attempts back whose last byte has not been written. This gives up nothing that runs, so that it needs no leave
     /// to cancel.
     fn withdraw(&mut self, now: f64, attempts: Vec<Unwritten>, out: &mut Vec<Command>) {
--- a/tests/transaction.rs
+++ b/tests/transaction.rs
@@ -343,3 +343,38 @@
         }
     }
 }
+
+/// Guards against a send to a worker that has been announced as leaving: the attempt was decided before, and its connection
+/// comes up after; what counts is the first byte. It goes elsewhere, since nothing ran; one that is written whole goes on.
+#[test]
+fn what_is_not_written_is_taken_back_when_its_worker_leaves() {
+    use postproxy::Health;
+    let member = |name: &str, health: Health| {
+        let n: u16 = name.trim_start_matches("s-").parse().expect("a number");
+        let entry = Entry { size: 1.0, health, ..Entry::default() };
+        Member { id: name.to_owned(), address: ([127, 0, 0, 1], 9000 + n).into(), entry }
+    };
+    let other = |name: &str| if name == "s-0" { "s-1" } else { "s-0" };
+    for written in [false, true] {
+        for how in 0..3 {
+            let mut bed = Bed::new(2);
+            let (pass, to) = start(&bed.submit("a", 1)).expect("a pass");
+            assert!(bed.tell(Input::Farm(ListKind::Delta, vec![])).is_empty(), "no change");
+            if written {
+                bed.tell(Input::Written(pass));
+            }
+            let stays = member(other(&to), Health::Ready);
+            let out = bed.tell(match how {
+                0 => Input::Farm(ListKind::Delta, vec![member(&to, Health::Draining)]),
+                1 => Input::Farm(ListKind::Full, vec![member(&to, Health::Draining), stays]),
+                _ => Input::Farm(ListKind::Full, vec![stays]),
+            });
+            let back = out.iter().any(|c| matches!(c, Command::Withdraw(p) if *p == pass));
+            assert_eq!(back, !written, "{how}: {out:?}");
+            if back {
+                let again = start(&bed.tell(Input::Pass(pass, PassEnd::NoRoom, Load::new())));
+                assert_eq!(again.expect("another attempt").1, other(&to));
+            }
+        }
+    }
+}
