Let a connection rest on which a worker has turned a job away: it may answer twice

Read: a second answer may come some milliseconds after the first. On a pooled connection that carries the next pass by then it was taken for that one's; a second 'not run' had a job that runs sent elsewhere, too. proxy_pass.rs, received(): the connection was idle, and free for use, with the answer's last byte. After any answer but 202 it is used again only 50 ms later; a stray answer finds it idle and ends it. Ruled out: resting after each 202, which would cost a busy node a connection for each job in 50 ms.

--- a/src/net/back/proxy_pass.rs
+++ b/src/net/back/proxy_pass.rs
@@ -16,6 +16,9 @@
 const WORN_DOUBLES: f64 = 5.0;
 /// It is never learned to be shorter.
 const WORN_LEAST: f64 = 0.02;
+/// A connection on which a worker has answered anything but that it takes the job is used again after this time, in seconds: it
+/// may answer twice, some milliseconds apart, and the second would be taken for the next pass's.
+const AGAIN_AFTER: f64 = 0.05;
 /// How long the answer to a cancel, or to a pass that has been decided, is waited for.
 const PATIENCE: f64 = 2.0;
 
@@ -37,6 +40,8 @@
     pass: Option<PassId>,
     /// Since when it has carried its errand, or lain idle.
     since: f64,
+    /// Since when it may be used again.
+    usable_from: f64,
     /// For how long it had lain idle before its errand; a new one has not.
     rested: Option<f64>,
     /// It broke under a pass that had no answer yet.
@@ -111,6 +116,8 @@
                 connection.consume(size);
                 if response.keeps && !early && !ended && connection.input.is_empty() {
                     self.errands.errand = Errand::Idle;
+                    let rests = if response.status == 202 { 0.0 } else { AGAIN_AFTER };
+                    self.errands.usable_from = self.reactor.now + rests;
                 } else {
                     connection.abort();
                 }
@@ -275,7 +282,13 @@
             self.forget(reactor, worker);
         }
         let most = self.usable(reactor.now);
-        while let Some(key) = self.idle.get_mut(&worker).and_then(Vec::pop) {
+        while let Some(key) = self.idle.get_mut(&worker).and_then(|pool| {
+            // The last used first, of those that may be used. Danger: a second 'not run' taken for the next pass's answer has a
+            // job that runs sent elsewhere, too.
+            let may =
+                |key: &usize| self.sessions.get(key).is_none_or(|s| s.errands.usable_from <= reactor.now);
+            pool.iter().rposition(may).map(|at| pool.remove(at))
+        }) {
             let Some(session) = self.sessions.get_mut(&key) else { continue };
             // Its end may have arrived without having been noticed.
             session.connection.ready(true, false, &mut Caller { errands: &mut session.errands, reactor });
@@ -304,7 +317,7 @@
         let connection = Connection::new(stream, true, http::MOST_HEAD + 2 * http::MOST_BODY);
         let since = reactor.now;
         let (errand, pass, rested, broke, round) = (Errand::Other, None, None, false, 0);
-        let errands = Errands { worker, errand, pass, since, rested, broke, round };
+        let errands = Errands { worker, errand, pass, since, usable_from: since, rested, broke, round };
         self.sessions.insert(key, Session { connection, errands });
         reactor.timer(reactor.now + self.dial_timeout, Due::Dial(key));
         Ok(key)
