--- a/src/interface.rs
+++ b/src/interface.rs
@@ -196,8 +196,8 @@
 #[derive(Debug)]
 #[non_exhaustive]
 pub enum SettingsError {
-    /// The text is not JSON, or a key has a value of the wrong type.
-    Json(serde_json::Error),
+    /// The text is not JSON, or a key has a value of the wrong type; with the key's path.
+    Json(serde_path_to_error::Error<serde_json::Error>),
     /// A key has a value outside of its range.
     Range {
         /// The key.
@@ -210,14 +210,22 @@
 impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Json(error) => write!(f, "settings: {error}"),
-            Self::Range { key, want } => write!(f, "settings: {key} must be {want}"),
+            Self::Json(error) => match error.path().to_string().as_str() {
+                "." => write!(f, "settings: {}", error.inner()),
+                path => write!(f, "settings.{path}: {}", error.inner()),
+            },
+            Self::Range { key, want } => write!(f, "settings.{key} must be {want}"),
         }
     }
 }
 
 impl std::error::Error for SettingsError {}
 
+postproxy_remedy::remedies! { SettingsError, REMEDIES:
+    SettingsError::Json(_) => "settings.malformed", "correct the value at the key that is named, and start the node or signal it to reload again";
+    SettingsError::Range { .. } => "settings.range", "give the key that is named a value as it must be, and start the node or signal it to reload again";
+}
+
 /// What the list says of a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Health {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -3,6 +3,7 @@
 use crate::interface::Settings;
 use crate::net::back::farm::List;
 use crate::operator::{AuditSection, DutiesSection, FleetSection, StoreSection};
+use postproxy_remedy::Remedy as _;
 use serde::Deserialize;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -154,7 +155,8 @@
             fleet: None,
             duties: None,
             audit: None,
-            settings: Settings::from_json(&raw.settings.to_string()).map_err(|e| e.to_string())?,
+            settings: Settings::from_json(&raw.settings.to_string())
+                .map_err(|e| format!("{e} ({}: {})", e.code(), e.remedy()))?,
         })
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -207,6 +207,25 @@
     if ok { Ok(()) } else { Err(SettingsError::Range { key, want }) }
 }
 
+/// Checks that what has keys is an object. Danger: a list there would be read key by key in the order of the lines above.
+fn objects(json: &serde_json::Value) -> Result<(), SettingsError> {
+    const SECTIONS: [&str; 6] = ["client-habits", "extra", "limits", "prices", "report", "rules"];
+    const LISTS: [(&str, &str); 2] = [("orgs", "orgs[]"), ("services", "services[]")];
+    check(json.is_object(), "(all)", "an object")?;
+    for key in SECTIONS {
+        check(json.get(key).is_none_or(|section| !section.is_array()), key, "an object")?;
+    }
+    for (list, key) in LISTS {
+        let entries = json.get(list).and_then(serde_json::Value::as_array);
+        check(
+            entries.is_none_or(|entries| !entries.iter().any(serde_json::Value::is_array)),
+            key,
+            "an object",
+        )?;
+    }
+    Ok(())
+}
+
 impl Settings {
     /// Reads settings from JSON.
     ///
@@ -214,7 +233,13 @@
     ///
     /// If the text is not JSON, a known key has a value of another type, or a figure is out of range.
     pub fn from_json(text: &str) -> Result<Self, SettingsError> {
-        let raw: Raw = serde_json::from_str(text).map_err(SettingsError::Json)?;
+        let at_all = |error| {
+            let path = serde_path_to_error::Track::new().path();
+            SettingsError::Json(serde_path_to_error::Error::new(path, error))
+        };
+        let json: serde_json::Value = serde_json::from_str(text).map_err(at_all)?;
+        objects(&json)?;
+        let raw: Raw = serde_path_to_error::deserialize(&json).map_err(SettingsError::Json)?;
         let extra = raw.extra;
         let slots = |text: &str, field: Field| match text {
             text if text.contains("free slots") => Field::FreeSlots,
