Give a job up that moves to another process without its client

Read in the hand-over: between the older process's last look at a held connection and the newer one's first, its client may leave. The newer one took the job in (Input::Moved), looked at it again and could begin its next attempt before the end was read in a later turn. The connection is read as it is taken over now, and a job without its user agent begins nothing; what is out is given up where cancels are allowed.

Tests: tests/transaction.rs (the job with and without its user agent), tests/leaving.rs (a connection whose end came before it was taken over).

--- a/src/net/front/user_agent.rs
+++ b/src/net/front/user_agent.rs
@@ -574,6 +574,8 @@
         self.with(reactor, key, |_, caller| {
             (caller.agent.phase, caller.agent.useful, caller.agent.closes) = (Phase::Held, true, closes);
         });
+        // Danger: it may have left on the way, and the job's next attempt would begin before its end is read.
+        self.ready(reactor, key, true, false);
         Some(key as u64)
     }
 
--- a/src/net/hub/transaction.rs
+++ b/src/net/hub/transaction.rs
@@ -323,7 +323,7 @@
             Input::Tale(link, tale) => self.heard(now, link, tale, out),
             Input::Moved(link, agent, job) => {
                 if self.carry_on(now, link, agent, &job, out).is_none() {
-                    out.push(Command::Answer(agent, Answer::Failed));
+                    out.extend(agent.map(|agent| Command::Answer(agent, Answer::Failed)));
                 }
             }
             Input::Again(agent, call) => {
@@ -448,12 +448,13 @@
         postcard::to_stdvec(&moved).ok()
     }
 
-    /// Goes on with a transaction of another process; `None` if it can't be read.
+    /// Goes on with a transaction of another process; `None` if it can't be read. Without its user agent nothing new begins,
+    /// and what is out is given up.
     fn carry_on(
         &mut self,
         now: f64,
         link: usize,
-        agent: AgentId,
+        agent: Option<AgentId>,
         job: &[u8],
         out: &mut Vec<Command>,
     ) -> Option<()> {
@@ -483,10 +484,10 @@
             }
         }
         self.by_id.insert(id, request);
-        self.by_agent.insert(agent, request);
+        self.by_agent.extend(agent.map(|agent| (agent, request)));
         let t = Transaction {
             payload: Rc::new(moved.payload),
-            agent: Some(agent),
+            agent,
             deadline: moved.deadline + shift,
             attempts,
             class: moved.class,
@@ -502,8 +503,20 @@
         let open = t.attempts.iter().zip(0..).filter(|(a, _)| !a.ended);
         let open: Vec<Tale> = open.map(|(a, attempt)| self.sent(now, &t, a, attempt, false)).collect();
         self.tales.extend(open);
+        let out_there: Vec<u16> =
+            t.attempts.iter().zip(0..).filter(|(a, _)| !a.ended).map(|(_, n)| n).collect();
         self.transactions.insert(request, t);
-        self.events.push_back(Event::Carried { request, carried: Box::new(moved.carried) });
+        if agent.is_some() {
+            self.events.push_back(Event::Carried { request, carried: Box::new(moved.carried) });
+            return Some(());
+        }
+        self.touched.push(request);
+        if self.settings.may_cancel {
+            for attempt in out_there {
+                self.abandon(request, attempt, out);
+                self.ended(now, (request, attempt), Outcome::Cancelled, &Load::new());
+            }
+        }
         Some(())
     }
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -743,6 +743,7 @@
                 handover::Event::News(link, News::Job(job, input, closes), Some(descriptor)) => {
                     let adopted = self.agents.adopt_held(&mut self.reactor, descriptor.into(), input, closes);
                     if let Some(agent) = adopted {
+                        let agent = Some(agent).filter(|agent| self.agents.waits(*agent));
                         self.reactor.queue.push_back(Input::Moved(link, agent, job));
                     }
                 }
--- a/src/net/words.rs
+++ b/src/net/words.rs
@@ -143,8 +143,8 @@
     Tale(usize, Tale),
     /// A link is over: what its process held is gone.
     Unlinked(usize),
-    /// Another process's job moves here, with its user agent.
-    Moved(usize, AgentId, Vec<u8>),
+    /// Another process's job moves here, with its user agent, if that has not left meanwhile.
+    Moved(usize, Option<AgentId>, Vec<u8>),
     /// A call-back that no other process knows: its job may have moved here since.
     Again(AgentId, JobCall),
     /// A timer set by [`Command::Timer`] came due.
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -226,3 +226,35 @@
         assert!(told.is_empty(), "{way:?}: {} pieces of news", told.len());
     }
 }
+
+/// Guards against a hand-over that takes a user agent for one who waits, though its end was on the way with its connection.
+#[test]
+fn a_connection_taken_over_behind_its_clients_end_waits_for_nothing() {
+    for (way, waits) in [(None, true), (Some(Leaves::Fin), false), (Some(Leaves::RstBehind(64 << 10)), false)]
+    {
+        let mut reactor = Reactor::new(1000.0).expect("a reactor");
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = listener.local_addr().expect("an address");
+        let settings = Settings::from_json(r#"{"services": [{"name": "render"}]}"#).expect("settings");
+        let other = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let mut agents = UserAgents::new(&mut reactor, other, settings, 8).expect("they listen");
+        let mut client = Some(Peer::to(at));
+        let (stream, _) = listener.accept().expect("a connection");
+        if let Some(way) = way {
+            let mut client = client.take().expect("a client");
+            way.sends_behind(&mut client);
+            way.goes(client);
+        }
+        let agent = agents.adopt_held(&mut reactor, stream, Vec::new(), false).expect("it is taken in");
+        let (start, mut events) = (Instant::now(), Vec::new());
+        reactor.timer(1000.0, Due::Accept);
+        // What does not fit into the first read comes with the next ones.
+        while agents.waits(agent) != waits {
+            assert!(start.elapsed() < LIMIT && way != Some(Leaves::Fin), "{way:?}");
+            reactor.wait(&mut events, f64::MAX).expect("a poller");
+            for event in events.iter().filter(|event| owner(event.key) == Owner::Agent) {
+                agents.ready(&mut reactor, event.key, event.readable, event.writable);
+            }
+        }
+    }
+}
--- a/tests/transaction.rs
+++ b/tests/transaction.rs
@@ -378,3 +378,20 @@
         }
     }
 }
+
+/// Guards against an attempt for nobody in a hand-over: the user agent leaves between the one process's last look and the
+/// other's first. Its job's next attempt does not begin there, and what is out is given up; with it, the job goes on.
+#[test]
+fn a_job_that_moves_without_its_user_agent_is_given_up() {
+    for (agent, goes_on) in [(Some(9), true), (None, false)] {
+        let (mut old, mut new) = (Bed::new(2), Bed::new(2));
+        let (_, from) = old.accepted("a", 0);
+        let job = old.hub.release(old.now, 1).expect("it can move");
+        let out = new.tell(Input::Moved(1, agent, job));
+        let given_up = out.iter().any(|c| matches!(c, Command::Abandon(_, _, p, true) if p.id == "a"));
+        assert_eq!((given_up, start(&out)), (!goes_on, None), "{out:?}");
+        let again = start(&new.call("a", &from, JobState::Lost));
+        assert_eq!(again.is_some(), goes_on);
+        assert_eq!(new.hub.held(), usize::from(goes_on));
+    }
+}
