Call the farm what the field does: the worker list

Names only: net::back::farm is net::back::worker_list, Farm is WorkerList; inputs, owners and timers go by List and Discovery. The path in levels of logs (postproxy::net::back::farm) is published and stays, as does the store's key.

--- a/benches/hub.rs
+++ b/benches/hub.rs
@@ -23,7 +23,7 @@
         entry: Entry { size: 1.0, ..Entry::default() },
     };
     let members = (0..9).map(member).collect();
-    hub.handle(1000.0, Input::Farm(ListKind::Full, members), &mut Vec::new());
+    hub.handle(1000.0, Input::List(ListKind::Full, members), &mut Vec::new());
     hub
 }
 
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -26,7 +26,7 @@
         /// Since so many seconds.
         ago: f32,
     },
-    /// The farm's list, as it is kept.
+    /// The list of workers, as it is kept.
     List(Vec<u8>),
     /// A job is held: no other of this id may be taken.
     Taken {
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -19,7 +19,7 @@
 /// An attempt at a worker.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub struct Attempt {
-    /// The worker, as the farm names it.
+    /// The worker, as the list names it.
     pub worker: String,
     /// What is known of it.
     pub fate: Fate,
--- a/src/net/back/keeper.rs
+++ b/src/net/back/keeper.rs
@@ -1,7 +1,7 @@
 //! The node's hand on the store: it carries out the hub's writes and reads, and tells the hub what became of
 //! them. The disk is waited for by the store's own thread.
 
-use super::farm::Kept;
+use super::worker_list::Kept;
 use crate::net::ground::reactor::{Owner, Reactor};
 use crate::net::words::{AgentId, Input, Wait};
 use crate::operator::StoreSection;
@@ -19,8 +19,8 @@
 
 /// Bytes that may wait for the disk.
 const MOST_QUEUED: usize = 16 << 20;
-/// The key of the farm's list.
-const FARM: &[u8] = b"f/list";
+/// The key of the list of workers.
+const LIST: &[u8] = b"f/list";
 /// The key of the fleet's bans.
 const BANS: &[u8] = b"f/bans";
 /// What the council's keys begin with: the log, the seat, the starts.
@@ -33,11 +33,11 @@
     u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// What a store holds that is not the ledger's: the farm's list, the fleet's bans, what the nodes decide together.
+/// What a store holds that is not the ledger's: the list of workers, the fleet's bans, what the nodes decide together.
 #[derive(Default)]
 pub struct Found {
-    /// The farm's list.
-    pub farm: Option<Kept>,
+    /// The list of workers.
+    pub list: Option<Kept>,
     /// The fleet's bans.
     pub bans: Vec<u8>,
     /// Keys and values of the council's.
@@ -55,7 +55,7 @@
     waiting: VecDeque<(u64, Wait)>,
     reads: HashMap<u64, AgentId>,
     next_read: u64,
-    /// Writes of the farm's list and of the fleet's bans that are on their way.
+    /// Writes of the list of workers and of the fleet's bans that are on their way.
     keeps: VecDeque<u64>,
     /// One of them was refused.
     unkept: bool,
@@ -92,7 +92,7 @@
 }
 
 impl Keeper {
-    /// Opens the store, reads what it holds, which may be the farm's list and the fleet's bans, too, and starts
+    /// Opens the store, reads what it holds, which may be the list of workers and the fleet's bans, too, and starts
     /// its thread.
     ///
     /// # Errors
@@ -109,8 +109,8 @@
         let mut found = Found::default();
         engine
             .scan(|key, value| {
-                if key == FARM {
-                    found.farm = Kept::from_json(value);
+                if key == LIST {
+                    found.list = Kept::from_json(value);
                 } else if key == BANS {
                     found.bans = value.to_vec();
                 } else if COUNCIL.iter().any(|of| key.starts_with(of)) {
@@ -185,9 +185,9 @@
         std::mem::take(&mut self.unkept)
     }
 
-    /// Keeps the farm's list.
-    pub fn keep_farm(&mut self, list: &[u8]) {
-        self.keep(FARM, list);
+    /// Keeps the list of workers.
+    pub fn keep_list(&mut self, list: &[u8]) {
+        self.keep(LIST, list);
     }
 
     /// Keeps the fleet's bans.
--- a/src/net/back/mod.rs
+++ b/src/net/back/mod.rs
@@ -2,7 +2,7 @@
 //! nothing here decides which worker gets a job.
 
 pub mod backoff;
-pub mod farm;
 pub mod keeper;
 pub mod proxy_pass;
 pub mod watch;
+pub mod worker_list;
--- a/src/net/back/farm.rs
+++ b/src/net/back/worker_list.rs
@@ -1,4 +1,4 @@
-//! The farm: discovery's list of workers and the calls for it. When one is made is `watch`'s to say.
+//! Discovery's list of workers and the calls for it. When one is made is `watch`'s to say.
 
 use super::watch::{Call, CallId, Crowd, Schedule};
 use crate::interface::{Entry, Health, ListKind, Settings};
@@ -11,6 +11,8 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 
+/// Where these logs stand in levels by module: a published path, which stays.
+const TARGET: &str = "postproxy::net::back::farm";
 /// Longest list that is read.
 const MOST_LIST: usize = 8 << 20;
 /// A member as discovery tells it, and as nodes pass it on.
@@ -130,7 +132,7 @@
 }
 
 /// The watch on discovery's list.
-pub struct Farm {
+pub struct WorkerList {
     discovery: SocketAddr,
     settings: Settings,
     /// The version that this node holds; `None` where only the whole list will do.
@@ -174,7 +176,7 @@
     }
 }
 
-impl Farm {
+impl WorkerList {
     /// No watch yet; `known` is the version of the list that the node starts with, if that names a worker.
     pub fn new(discovery: SocketAddr, settings: Settings, known: Option<u64>, seed: u64) -> Self {
         let dial_timeout = settings.dial_timeout.max(0.25);
@@ -252,7 +254,7 @@
         }
         if let Some(at) = self.schedule.wakes().filter(|at| self.looks.is_none_or(|looks| *at < looks)) {
             self.looks = Some(at);
-            reactor.timer(at, Due::Farm);
+            reactor.timer(at, Due::Discovery);
         }
     }
 
@@ -275,18 +277,18 @@
         let mut bytes = Vec::new();
         http::write_request(&mut bytes, "GET", &target, &[("Host", &host)], b"");
         if let Some(silent) = call.ends {
-            tracing::info!(discovery = %self.discovery, "a call to discovery has fallen silent");
+            tracing::info!(target: TARGET, discovery = %self.discovery, "a call to discovery has fallen silent");
             self.drop_session(reactor, |session| session.call == Some(silent));
         }
         let at = match self.sessions.iter().position(|session| session.call.is_none()) {
             Some(at) => at,
             None => {
                 let dialed = reactor::dial(self.discovery).and_then(|stream| {
-                    let key = reactor.register(&stream, Owner::Farm)?;
+                    let key = reactor.register(&stream, Owner::Discovery)?;
                     Ok(Session { connection: Connection::new(stream, true, MOST_LIST), key, call: None })
                 });
                 let Ok(session) = dialed else { return self.failed(reactor, call.id) };
-                reactor.timer(reactor.now + self.dial_timeout, Due::FarmDial(call.id));
+                reactor.timer(reactor.now + self.dial_timeout, Due::DiscoveryDial(call.id));
                 self.sessions.push(session);
                 self.sessions.len() - 1
             }
@@ -387,7 +389,7 @@
         let passed: BTreeMap<String, RawMember> = members.into_iter().map(|m| (m.id.clone(), m)).collect();
         let members = held.values().map(|own| overlaid(own, &passed)).collect();
         let list = List { revision: number, complete: false, members };
-        reactor.queue.push_back(Input::Farm(ListKind::Passed, list.members(&self.settings)));
+        reactor.queue.push_back(Input::List(ListKind::Passed, list.members(&self.settings)));
         self.passed = Some((number, digest, passed));
         Some((number, digest))
     }
@@ -425,7 +427,7 @@
                 list.members.iter_mut().for_each(|member| *member = overlaid(member, passed));
             }
             let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
-            reactor.queue.push_back(Input::Farm(kind, list.members(&self.settings)));
+            reactor.queue.push_back(Input::List(kind, list.members(&self.settings)));
         }
         news
     }
@@ -436,7 +438,7 @@
     }
 
     fn failed(&mut self, reactor: &mut Reactor, call: CallId) {
-        tracing::warn!(discovery = %self.discovery, "a call to discovery failed");
+        tracing::warn!(target: TARGET, discovery = %self.discovery, "a call to discovery failed");
         self.schedule.failed(reactor.now, call);
         self.look(reactor);
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,7 +1,7 @@
 //! What a node is told at its start: the environment's `RELAY_*` and a JSON file.
 
 use crate::interface::Settings;
-use crate::net::back::farm::List;
+use crate::net::back::worker_list::List;
 use crate::operator::{AuditSection, DutiesSection, FleetSection, StoreSection};
 use postproxy_remedy::Remedy as _;
 use serde::Deserialize;
@@ -30,7 +30,7 @@
     pub sockets: usize,
     /// How much memory it may use, in MiB.
     pub memory_mb: usize,
-    /// The farm's list as it was last held.
+    /// The list of workers as it was last held.
     pub known: Option<List>,
     /// The settings.
     pub settings: Settings,
--- a/src/net/ground/reactor.rs
+++ b/src/net/ground/reactor.rs
@@ -23,8 +23,8 @@
     Agent,
     /// A proxy pass's.
     Pass,
-    /// The farm's.
-    Farm,
+    /// Discovery's.
+    Discovery,
     /// The store's, which tells what has become of writes.
     Store,
     /// Other nodes'.
@@ -34,7 +34,7 @@
 }
 
 const OWNERS: [Owner; 8] = [
-    Owner::Farm,
+    Owner::Discovery,
     Owner::Door,
     Owner::Handover,
     Owner::Store,
@@ -73,11 +73,11 @@
     /// A worker's connection that is being made.
     Dial(usize),
     /// A look at which call to discovery is due.
-    Farm,
+    Discovery,
     /// The connection for a call to discovery.
-    FarmDial(u64),
-    /// Keeping the farm's list, if it has changed.
-    FarmKept,
+    DiscoveryDial(u64),
+    /// Keeping the list of workers, if it has changed.
+    ListKept,
     /// The end of the accept window, or a look after it.
     WindUp,
 }
@@ -155,7 +155,7 @@
     }
 
     /// Waits for sockets, or until the next timer is due; what comes of the same owner's rank stays together.
-    /// News of the farm come first: what the list says comes before all that might be sent by an older one; then
+    /// News of the list come first: what the list says comes before all that might be sent by an older one; then
     /// operators' calls, which are owed an answer however busy the node is.
     ///
     /// # Errors
--- a/src/net/hub/transaction.rs
+++ b/src/net/hub/transaction.rs
@@ -301,7 +301,7 @@
                 let anew = if sound { keeping.ledger.rewrite() } else { Vec::new() };
                 self.write(anew, Wait::Nobody(String::new()));
             }
-            Input::Farm(kind, members) => {
+            Input::List(kind, members) => {
                 let entries: Vec<Entry> = members.into_iter().map(|member| self.member(member)).collect();
                 let unwritten = self.unwritten_to(&self.leaving(kind, &entries));
                 self.events.push_back(Event::List { kind, entries });
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -2,9 +2,9 @@
 
 use super::config::Config;
 use crate::interface::ListKind;
-use crate::net::back::farm::Farm;
 use crate::net::back::keeper::{Found, Keeper};
 use crate::net::back::proxy_pass::ProxyPasses;
+use crate::net::back::worker_list::WorkerList;
 use crate::net::front::management::{self, Call, Door};
 use crate::net::front::user_agent::{self, UserAgents};
 use crate::net::ground::reactor::{self, Clock, Due, Owner, Reactor};
@@ -33,8 +33,8 @@
 /// So many looks in a row find nothing before the node ends: a user agent whose request crossed the end of its
 /// connection sends it again on a new one.
 const QUIET: u32 = 10;
-/// How often the farm's list is kept, if it has changed.
-const FARM_KEPT: f64 = 1.0;
+/// How often the list of workers is kept, if it has changed.
+const LIST_KEPT: f64 = 1.0;
 /// How often idle connections are looked at in a drain.
 const DRAIN_LOOK: f64 = 0.05;
 /// Descriptors kept for what is no connection.
@@ -124,7 +124,7 @@
     hub: Hub,
     agents: UserAgents,
     passes: ProxyPasses,
-    farm: Farm,
+    list: WorkerList,
     keeper: Option<Keeper>,
     door: Option<Door>,
     handover: Option<Handover>,
@@ -166,7 +166,7 @@
             Some(section) => {
                 let (keeper, mut ledger, kept) = Keeper::start(&mut reactor, section, &config.name)?;
                 found = kept;
-                if let Some(list) = found.farm.take() {
+                if let Some(list) = found.list.take() {
                     known = list.or(known, config.discovery);
                 }
                 let nothing_ran = ledger.loaded();
@@ -200,7 +200,7 @@
         let revision = known.as_ref().map(|list| list.revision);
         let members = known.clone().map(|list| list.members(&settings)).unwrap_or_default();
         let revision = revision.filter(|_| !members.is_empty());
-        let mut farm = Farm::new(config.discovery, settings.clone(), revision, config.seed);
+        let mut list = WorkerList::new(config.discovery, settings.clone(), revision, config.seed);
         let mut hub = Hub::new(settings.clone(), config.seed)?;
         let keeper = kept.map(|(mut keeper, keeping, nothing_ran)| {
             hub.keep(keeping);
@@ -209,13 +209,13 @@
             keeper
         });
         if !members.is_empty() {
-            reactor.queue.push_back(Input::Farm(ListKind::Cached, members));
+            reactor.queue.push_back(Input::List(ListKind::Cached, members));
         }
         if keeper.is_some() || shared || config.audit.is_some() {
-            farm.hold(known.as_ref());
+            list.hold(known.as_ref());
         }
         if keeper.is_some() {
-            reactor.timer(reactor.now + FARM_KEPT, Due::FarmKept);
+            reactor.timer(reactor.now + LIST_KEPT, Due::ListKept);
         }
         let stop = Signal::new(&mut reactor, stop)?;
         let (reload, quiet, done) = (None, 0, false);
@@ -244,7 +244,7 @@
             hub,
             agents,
             passes,
-            farm,
+            list,
             keeper,
             door,
             handover,
@@ -306,10 +306,10 @@
         self.reactor.now = self.clock.now();
         self.agents.listen(&self.reactor, false);
         self.begin();
-        self.farm.start(&mut self.reactor);
+        self.list.start(&mut self.reactor);
         while !self.done {
             self.work();
-            if self.audits && self.farm.fresh() {
+            if self.audits && self.list.fresh() {
                 self.adopted(Source::Own);
             }
             if self.life.stage() == Stage::HandingOver {
@@ -349,7 +349,7 @@
             }
             Owner::Agent => self.agents.ready(reactor, key, readable, writable),
             Owner::Pass => self.passes.ready(reactor, key, readable, writable),
-            Owner::Farm => self.farm.ready(reactor, key, readable, writable),
+            Owner::Discovery => self.list.ready(reactor, key, readable, writable),
             Owner::Store => {
                 let written = self.keeper.as_mut().and_then(|keeper| keeper.ready(reactor));
                 let events =
@@ -394,20 +394,20 @@
             Due::Accept => self.agents.accept_due(reactor),
             Due::Pass(key, round) => self.passes.pass_due(reactor, key, round),
             Due::Dial(key) => self.passes.dial_due(reactor, key),
-            Due::Farm => self.farm.due(reactor),
-            Due::FarmDial(call) => self.farm.dial_due(reactor, call),
-            Due::FarmKept => {
+            Due::Discovery => self.list.due(reactor),
+            Due::DiscoveryDial(call) => self.list.dial_due(reactor, call),
+            Due::ListKept => {
                 let Some(keeper) = &mut self.keeper else { return };
                 // What a disk in trouble has refused is given again, whether or not it has changed.
                 let again = keeper.unkept();
-                let list = self.farm.changed().or_else(|| self.farm.kept().filter(|_| again));
+                let list = self.list.changed().or_else(|| self.list.kept().filter(|_| again));
                 if let Some(list) = list {
-                    keeper.keep_farm(&list);
+                    keeper.keep_list(&list);
                 }
                 if let Some(bans) = self.fleet.as_mut().and_then(|fleet| fleet.changed(again)) {
                     keeper.keep_bans(&bans);
                 }
-                reactor.timer(reactor.now + FARM_KEPT, Due::FarmKept);
+                reactor.timer(reactor.now + LIST_KEPT, Due::ListKept);
             }
             Due::WindUp if self.life.stage() == Stage::HandingOver => {
                 let over = self.agents.count() == 0 && self.hub.owed() == 0 && self.links.words.is_empty();
@@ -512,8 +512,8 @@
 
     /// The list that this node acts on may be another one than before.
     fn adopted(&mut self, source: Source) {
-        let (Some(fleet), Some((number, digest))) = (&mut self.fleet, self.farm.version()) else { return };
-        let stand = Stand { generation: fleet.generation(self.farm.discovery()), number, digest };
+        let (Some(fleet), Some((number, digest))) = (&mut self.fleet, self.list.version()) else { return };
+        let stand = Stand { generation: fleet.generation(self.list.discovery()), number, digest };
         let acts = std::mem::take(&mut self.acts);
         let events = fleet.acts_on(&mut self.reactor, stand, source, acts);
         self.told_by_fleet(events);
@@ -574,7 +574,7 @@
                 }
                 fleet::Event::Nodes(count, place) => {
                     self.reactor.queue.push_back(Input::Nodes(count));
-                    self.farm.place(place);
+                    self.list.place(place);
                 }
                 fleet::Event::Settled => {
                     let workers = self.hub.banned();
@@ -589,14 +589,14 @@
                     }
                 }
                 fleet::Event::Give(to, _) => {
-                    if let (Some(fleet), Some(body)) = (&mut self.fleet, self.farm.body()) {
-                        let generation = fleet.generation(self.farm.discovery());
+                    if let (Some(fleet), Some(body)) = (&mut self.fleet, self.list.body()) {
+                        let generation = fleet.generation(self.list.discovery());
                         fleet.give(&mut self.reactor, &to, generation, &body);
                     }
                 }
                 fleet::Event::Passed(from, generation, body) => {
-                    let own = self.fleet.as_ref().map(|fleet| fleet.generation(self.farm.discovery()));
-                    if own == Some(generation) && self.farm.take(&mut self.reactor, &body).is_some() {
+                    let own = self.fleet.as_ref().map(|fleet| fleet.generation(self.list.discovery()));
+                    if own == Some(generation) && self.list.take(&mut self.reactor, &body).is_some() {
                         self.adopted(Source::Peer(from));
                     }
                 }
@@ -790,7 +790,7 @@
             News::Tale(Tale::Drain { on: false, .. }) => {
                 self.activate();
             }
-            News::Tale(Tale::List(kept)) => self.farm.take_over(&mut self.reactor, &kept),
+            News::Tale(Tale::List(kept)) => self.list.take_over(&mut self.reactor, &kept),
             News::Tale(tale) => {
                 // Of two processes one has the place among the nodes, and tells them. What was so before is no new word: it
                 // is told once it is known what the fleet has said.
@@ -833,7 +833,7 @@
         };
         let now = self.reactor.now;
         let drain = self.life.drained_at().map(|at| Tale::Drain { on: true, ago: (now - at) as f32 });
-        let tales = drain.into_iter().chain(self.farm.kept().map(Tale::List)).chain(self.hub.tales(now));
+        let tales = drain.into_iter().chain(self.list.kept().map(Tale::List)).chain(self.hub.tales(now));
         for tale in tales {
             handover.say(&self.reactor, link, &Message::Tale(tale));
         }
@@ -892,7 +892,7 @@
         let Some((signal, source)) = &mut self.reload else { return };
         // What was signalled before the source is asked is in what it gives; a later signal asks again.
         if let Some(config) = signal.take(&self.reactor).then(source).flatten() {
-            self.farm.moved(&mut self.reactor, config.discovery);
+            self.list.moved(&mut self.reactor, config.discovery);
         }
     }
 
--- a/src/net/words.rs
+++ b/src/net/words.rs
@@ -93,7 +93,7 @@
 pub struct JobCall {
     /// The payload's id.
     pub id: String,
-    /// The worker, as the farm names it.
+    /// The worker, as the list names it.
     pub from: String,
     /// The news.
     pub state: JobState,
@@ -101,7 +101,7 @@
     pub load: Load,
 }
 
-/// A worker as the farm lists it.
+/// A worker as the list has it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
     /// Its name, the same at every node.
@@ -131,8 +131,8 @@
     Fetched(AgentId, Option<Vec<u8>>),
     /// The disk takes writes, or does not.
     Disk(bool),
-    /// News of the farm.
-    Farm(ListKind, Vec<Member>),
+    /// News of the list.
+    List(ListKind, Vec<Member>),
     /// A caller at the operators' door takes the worker of this name out of use, or back into it.
     Use(usize, String, bool),
     /// The fleet's word on the use of the worker of this name.
--- a/tests/keeping.rs
+++ b/tests/keeping.rs
@@ -52,7 +52,7 @@
             address: ([127, 0, 0, 1], 9000 + n).into(),
             entry: Entry { size: 1.0, ..Entry::default() },
         };
-        bed.tell(Input::Farm(ListKind::Full, (0..3).map(member).collect()));
+        bed.tell(Input::List(ListKind::Full, (0..3).map(member).collect()));
         bed
     }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -170,7 +170,7 @@
 /// Guards against a watch that is not renewed at once, a change applied to another list than the one held,
 /// a drained worker that is still sent to, and a failed call after which nobody asks again.
 #[test]
-fn the_farm_is_watched() {
+fn the_list_is_watched() {
     let bed = Bed::new(2, 256);
     let address = |n: usize| bed.workers[n].local_addr().expect("an address");
     let mut discovery = Peer::accept(&bed.discovery);
--- a/tests/transaction.rs
+++ b/tests/transaction.rs
@@ -34,7 +34,7 @@
             address: ([127, 0, 0, 1], 9000 + n).into(),
             entry: Entry { size: 1.0, ..Entry::default() },
         };
-        bed.tell(Input::Farm(ListKind::Full, (0..workers).map(member).collect()));
+        bed.tell(Input::List(ListKind::Full, (0..workers).map(member).collect()));
         bed
     }
 
@@ -301,7 +301,7 @@
         address: ([127, 0, 0, 1], 9000 + n).into(),
         entry: Entry { size: 1.0, started: 1000.0, ..Entry::default() },
     };
-    bed.tell(Input::Farm(ListKind::Full, vec![member(0), member(1)]));
+    bed.tell(Input::List(ListKind::Full, vec![member(0), member(1)]));
     for n in 0..20 {
         let (_, from) = start(&bed.submit(&format!("c{n}"), 0)).expect("a pass");
         assert_ne!(from, to);
@@ -359,15 +359,15 @@
         for how in 0..3 {
             let mut bed = Bed::new(2);
             let (pass, to) = start(&bed.submit("a", 1)).expect("a pass");
-            assert!(bed.tell(Input::Farm(ListKind::Delta, vec![])).is_empty(), "no change");
+            assert!(bed.tell(Input::List(ListKind::Delta, vec![])).is_empty(), "no change");
             if written {
                 bed.tell(Input::Written(pass));
             }
             let stays = member(other(&to), Health::Ready);
             let out = bed.tell(match how {
-                0 => Input::Farm(ListKind::Delta, vec![member(&to, Health::Draining)]),
-                1 => Input::Farm(ListKind::Full, vec![member(&to, Health::Draining), stays]),
-                _ => Input::Farm(ListKind::Full, vec![stays]),
+                0 => Input::List(ListKind::Delta, vec![member(&to, Health::Draining)]),
+                1 => Input::List(ListKind::Full, vec![member(&to, Health::Draining), stays]),
+                _ => Input::List(ListKind::Full, vec![stays]),
             });
             let back = out.iter().any(|c| matches!(c, Command::Withdraw(p) if *p == pass));
             assert_eq!(back, !written, "{how}: {out:?}");
--- a/tests/worker_list.rs
+++ b/tests/worker_list.rs
@@ -2,7 +2,7 @@
 //! and a time that is told.
 
 use postproxy::interface::{Health, ListKind, Settings};
-use postproxy::net::back::farm::{Farm, Kept, List};
+use postproxy::net::back::worker_list::{Kept, List, WorkerList};
 use postproxy::net::ground::reactor::{Due, Owner, Reactor, owner};
 use postproxy::net::words::Input;
 use std::io::{Read as _, Write as _};
@@ -15,7 +15,7 @@
 /// A list's owner, whose time is told.
 struct Bed {
     reactor: Reactor,
-    list: Farm,
+    list: WorkerList,
     listener: TcpListener,
 }
 
@@ -61,7 +61,7 @@
         let reactor = Reactor::new(1000.0).expect("a reactor");
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let settings = Settings::from_json(&format!(r#"{{"discovery": "{how}"}}"#)).expect("sound settings");
-        let list = Farm::new(listener.local_addr().expect("an address"), settings, known, seed);
+        let list = WorkerList::new(listener.local_addr().expect("an address"), settings, known, seed);
         let mut bed = Self { reactor, list, listener };
         bed.list.start(&mut bed.reactor);
         bed
@@ -74,7 +74,7 @@
             assert!(start.elapsed() < LIMIT, "it never came");
             self.reactor.wait(&mut events, f64::MAX).expect("a poller");
             for event in &events {
-                assert_eq!(owner(event.key), Owner::Farm);
+                assert_eq!(owner(event.key), Owner::Discovery);
                 self.list.ready(&mut self.reactor, event.key, event.readable, event.writable);
             }
         }
@@ -86,8 +86,8 @@
             self.reactor.now = (self.reactor.now + 0.002).min(now);
             for due in self.reactor.due() {
                 match due {
-                    Due::Farm => self.list.due(&mut self.reactor),
-                    Due::FarmDial(call) => self.list.dial_due(&mut self.reactor, call),
+                    Due::Discovery => self.list.due(&mut self.reactor),
+                    Due::DiscoveryDial(call) => self.list.dial_due(&mut self.reactor, call),
                     _ => {}
                 }
             }
@@ -120,7 +120,7 @@
     fn told(&mut self) -> ListKind {
         self.until(|bed| !bed.reactor.queue.is_empty());
         match self.reactor.queue.pop_front() {
-            Some(Input::Farm(kind, _)) => kind,
+            Some(Input::List(kind, _)) => kind,
             _ => panic!("no list"),
         }
     }
