Give each node of a trial and of tests an address whose ports nobody else draws

Now every node of a trial has an address of the loopback network of its own, with the usual ports. The same for the addresses that tests/{kill,operations,audit,shortage}.rs looked for and let go; those of tests/nodes.rs and its rig were so already.

--- a/src/cli/fleet_trial.rs
+++ b/src/cli/fleet_trial.rs
@@ -5,7 +5,7 @@
 use postproxy::net::peers::fleet::Picture;
 use postproxy::standin::{Discovery, Worker, ask};
 use rustix::process::{Pid, Signal, kill_process};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -76,18 +76,21 @@
     over: AtomicBool,
 }
 
-fn free() -> Result<SocketAddr, Failure> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+/// A node's own address of the loopback network, so that its ports are its own: one that is only looked for and let go
+/// can be another's before the node is there, and datagrams and streams need the same one.
+fn own(n: u8) -> IpAddr {
+    let process = std::process::id();
+    IpAddr::from([127, 128 + (process >> 8) as u8 % 64, process as u8, n])
 }
 
 fn set_up(folder: &Path, count: usize, discovery: SocketAddr) -> Result<Vec<Node>, Failure> {
-    let peers: Result<Vec<SocketAddr>, Failure> =
-        (0..count).map(|_| Ok(UdpSocket::bind("127.0.0.1:0")?.local_addr()?)).collect();
-    let peers = peers?;
+    let last = u8::try_from(count).ok().filter(|n| *n < 255).ok_or("a trial has 254 nodes at most")?;
+    let peers: Vec<SocketAddr> = (1..=last).map(|n| SocketAddr::new(own(n), 7946)).collect();
     let seeds: Vec<String> = peers.iter().take(3).map(ToString::to_string).collect();
     let voters: Vec<String> = (1..=if count < 5 { 3 } else { 5 }).map(|n| format!("node-{n}")).collect();
     let node = |(at, n): (&SocketAddr, usize)| {
-        let (name, client, door) = (format!("node-{n}"), free()?, free()?);
+        let name = format!("node-{n}");
+        let (client, door) = (SocketAddr::new(at.ip(), 8080), SocketAddr::new(at.ip(), 8081));
         let mine = folder.join(&name);
         std::fs::create_dir_all(&mine)?;
         let config = serde_json::json!({
--- a/tests/audit.rs
+++ b/tests/audit.rs
@@ -3,7 +3,7 @@
 mod rig;
 
 use postproxy::standin::{Discovery, ask};
-use postproxy_faults::wait;
+use postproxy_faults::{addresses, wait};
 use rig::{Fleet, MOST};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,7 +13,7 @@
 fn fleet(seed: u64, alike: bool, audit: bool) -> (Fleet, Discovery) {
     let names = ["w-0".to_owned(), "w-1".to_owned(), "w-2".to_owned()];
     // It has to know the workers, which the fleet starts: so it comes up after its node, which asks until it is there.
-    let stuck = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let stuck = std::net::SocketAddr::new(addresses(1)[0], 8500);
     let mut sections = serde_json::json!({"discovery_of": {"2": stuck.to_string()}});
     if audit {
         sections["audit"] =
--- a/tests/kill.rs
+++ b/tests/kill.rs
@@ -1,9 +1,9 @@
 //! The real program with a store, killed again and again under jobs that must not run twice.
 
 use postproxy::standin::{Discovery, Worker, ask};
-use postproxy_faults::{Process, wait};
+use postproxy_faults::{Process, addresses, wait};
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -95,7 +95,7 @@
         .map(|n| Worker::start(&format!("s-{n}"), Duration::from_millis(10 + 15 * n)).expect("a worker"))
         .collect();
     let discovery = Discovery::start(&workers).expect("discovery");
-    let address = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let address = SocketAddr::new(addresses(1)[0], 8080);
     workers.iter().for_each(|worker| worker.reports_to(address));
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("kill-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -615,6 +615,8 @@
         .expect("it runs");
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+    // Others' connections take their ports at this address, so that a node's can be gone before it is there.
+    assert!(!text.contains(" 127.0.0.1:"), "{text}");
     for step in ["yes, at 3 of 3 nodes", "cut off with a majority", "gave it up", "node-2 has left", "served"]
     {
         assert!(text.contains(step), "{step}: {text}");
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -3,6 +3,7 @@
 
 use postproxy::net::ground::http::{self, Read as Parsed};
 use postproxy::standin::{Discovery, Worker, ask};
+use postproxy_faults::addresses;
 use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
 use std::io::{Read, Write};
@@ -88,7 +89,7 @@
     }
 
     fn command(&self) -> (Command, SocketAddr) {
-        let door = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+        let door = SocketAddr::new(addresses(1)[0], 8081);
         let mut command = Command::new(env!("CARGO_BIN_EXE_postproxy"));
         command
             .args(["serve", "--log-levels", "error"])
--- a/tests/shortage.rs
+++ b/tests/shortage.rs
@@ -2,6 +2,7 @@
 
 use postproxy::net::ground::http;
 use postproxy::standin::{Discovery, Worker, ask};
+use postproxy_faults::addresses;
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -30,9 +31,9 @@
     }
 }
 
-/// An address of loopback at which nobody listens now.
+/// An address at which nobody listens, and which nobody else is given.
 fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port")
+    SocketAddr::new(addresses(1)[0], 8080)
 }
 
 fn member(name: &str, at: SocketAddr) -> serde_json::Value {
