End an attempt whose worker's answer fills the buffer without being whole

Seen: a worker that answers in chunks without end (4 bytes each) held its attempt until its time was over. A chunk's frame counts towards the connection's buffer (MOST_HEAD + 2 * MOST_BODY) and not towards the body, so that the buffer was full before the body was too large; then reading stops (`Connection::interest`), and neither the rest nor the peer's end is seen. Answers ahead (1xx) without end did the same. Ruled out: heads and lines without end, bodies longer than any may be, lengths that conflict: these ended at once before.

`Connection::full` says that there is no room for more; a pass and a call to discovery end then, as for any answer that can't be read (src/net/back/{proxy_pass,worker_list}.rs, `received`).

--- a/src/net/back/proxy_pass.rs
+++ b/src/net/back/proxy_pass.rs
@@ -122,7 +122,8 @@
                     connection.abort();
                 }
             }
-            Ok(_) if !ended => {}
+            // Danger: of one that is full no end would be seen, and its pass be held to its last moment.
+            Ok(_) if !ended && !connection.full() => {}
             Ok(_) | Err(_) => {
                 connection.abort();
                 self.ended(connection);
--- a/src/net/back/worker_list.rs
+++ b/src/net/back/worker_list.rs
@@ -166,7 +166,7 @@
                 let keeps = response.keeps && !connection.heard_all();
                 self.answer = Some(list.map(|list| (list, keeps)).ok_or(()));
             }
-            Ok(_) if !connection.heard_all() => {}
+            Ok(_) if !connection.heard_all() && !connection.full() => {}
             Ok(_) | Err(_) => self.answer = Some(Err(())),
         }
     }
--- a/src/net/ground/connection.rs
+++ b/src/net/ground/connection.rs
@@ -105,6 +105,11 @@
         self.output.len() - self.written
     }
 
+    /// There is no room for more input: a message that has not come whole by now never will.
+    pub fn full(&self) -> bool {
+        self.input.len() >= self.most
+    }
+
     /// The peer has said its last word.
     pub fn heard_all(&self) -> bool {
         matches!(self.state, State::HalfOpen | State::Ended)
@@ -113,7 +118,7 @@
     /// What it waits for: to read, to write.
     pub fn interest(&self) -> (bool, bool) {
         let reads = match self.state {
-            State::Open => self.spills || self.input.len() < self.most,
+            State::Open => self.spills || !self.full(),
             State::Closing => self.flushed(),
             _ => false,
         };
@@ -193,8 +198,7 @@
     fn read(&mut self, owner: &mut impl Callbacks<S>) {
         let mut chunk = [0; CHUNK];
         let before = self.input.len();
-        let room = |connection: &Self| connection.input.len() < connection.most;
-        while matches!(self.state, State::Open | State::Closing) && (self.spills || room(self)) {
+        while matches!(self.state, State::Open | State::Closing) && (self.spills || !self.full()) {
             match self.stream.read(&mut chunk) {
                 Ok(0) if self.state == State::Closing => return self.end(owner),
                 Ok(0) => {
@@ -210,7 +214,7 @@
                         return;
                     }
                 }
-                Ok(size) if room(self) => self.input.extend_from_slice(&chunk[..size]),
+                Ok(size) if !self.full() => self.input.extend_from_slice(&chunk[..size]),
                 Ok(size) => {
                     self.spilled = true;
                     if size == CHUNK {
