Let a connection that has just had its last answer keep its place for 50 ms

Seen by reading `make_room` with bytes arriving: where there is no room for a new connection, the first to go was the one that had its last answer and whose client had not ended it yet, in the very turn of the answer. A client that was still sending (a body that is too large, say) had the connection reset under it, and its answer could be lost on the way.

Now such a connection gives way first of all after 50 ms, the time that a new one has, too. The test connects a third client to a node with room for one: without the guard the first one's next write failed. The check that such a connection is 'first of all' tells the time 50 ms further, and holds as before otherwise.

--- a/src/net/front/user_agent.rs
+++ b/src/net/front/user_agent.rs
@@ -21,7 +21,8 @@
 const LINGER: f64 = 1.0;
 /// How long nothing is accepted after the system could give no connection, or none gave way.
 const RETRY: f64 = 0.05;
-/// For so long a new connection keeps its place whatever comes: its request is on its way.
+/// For so long a connection keeps its place whatever comes: a new one, its request is on its way; one that has had its last
+/// answer, that is.
 const YOUNG: f64 = 0.05;
 /// Who has asked for nothing after this long gives way before those who have.
 const SILENT: f64 = 0.3;
@@ -94,6 +95,8 @@
         let age = now - self.agent.since;
         match self.connection.state() {
             _ if !quiet => None,
+            // Danger: what it is still sending would reset the connection, and its answer be lost on the way.
+            State::Closing if age <= YOUNG => None,
             State::Closing => Some(0),
             State::Open if self.agent.timed && age <= YOUNG => None,
             State::Open if self.agent.timed && age <= SILENT => Some(3),
--- a/tests/user_agents.rs
+++ b/tests/user_agents.rs
@@ -99,6 +99,29 @@
     assert!(bed.agents.count() == 0);
 }
 
+/// Guards against an answer that its client can't read, since the connection was reset over what the client was still sending: a new
+/// one had come, for which there was no room. One that has just had its answer keeps its place for a moment.
+#[test]
+fn who_has_just_been_answered_does_not_give_way_at_once() {
+    let mut bed = Bed::new(1);
+    let mut answered = bed.connect();
+    bed.send(&mut answered, "POST /render HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n");
+    let _young = bed.connect();
+    let _waits = bed.connect();
+    answered.0.write_all(&[b'x'; 4096]).expect("it is written");
+    assert_eq!(bed.agents.count(), 2);
+    bed.at(1000.04);
+    answered.0.write_all(&[b'x'; 4096]).expect("it is written");
+    // It goes on sending, and reads its answer up to the connection's orderly end.
+    assert!(rest(&mut answered).starts_with("HTTP/1.1 413 "));
+    // Its place is free after that, though it sends on.
+    let before: Vec<usize> = bed.agents.keys().collect();
+    bed.at(1000.11);
+    assert!(
+        bed.agents.keys().all(|key| key != answered.1) && bed.agents.keys().any(|key| !before.contains(&key))
+    );
+}
+
 /// Guards against advice to come back at once where the settings allow none.
 #[test]
 fn an_unavailable_answer_says_when_to_come_back_or_nothing() {
@@ -160,10 +183,11 @@
     assert!(!bed.holds(&young) && bed.holds(&first));
     bed.send(&mut late, CALL);
     assert!(bed.agents.is_useful(late.1));
-    // Who has its last answer and does not end is first of all.
+    // Who has its last answer and does not end is first of all, once it has had a moment to read it.
     let mut first = first;
     bed.send(&mut first, "no request\r\n\r\n");
     assert!(bed.agents.keys().any(|key| key == first.1) && !bed.holds(&first));
+    bed.at(1000.66);
     let _last = bed.connect();
     assert!(!bed.agents.keys().any(|key| key == first.1) && bed.holds(&second) && bed.holds(&late));
 }
