Have operators' words wait until the older process of the node has told all

Found by reading the hand-over between greeting and last word. A process that takes over opens its door at once. What an operator says there (suspend, resume, drain, activate) before the older process has greeted it is not told to that one, since no link is greeted yet (`Hub::linked`); and what the older one then tells of before counts as the newer word: a resume was answered 'yes' and the worker was out of use a moment later.

Calls that change nothing are answered at once.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -143,6 +143,8 @@
     done: bool,
     /// The longest turn of the loop so far, in seconds.
     longest: f64,
+    /// Operators' calls that came before an older process had told all.
+    early: Vec<(usize, Call)>,
     /// An audit is kept; and the passes started since the list's version changed.
     audits: bool,
     acts: u64,
@@ -259,6 +261,7 @@
             quiet,
             done,
             longest: 0.0,
+            early: Vec::new(),
             audits,
             acts: 0,
         };
@@ -446,6 +449,12 @@
     /// Carries out operators' calls.
     fn called(&mut self, calls: Vec<(usize, Call)>) {
         for (key, call) in calls {
+            let changes = matches!(call, Call::Drain | Call::Activate | Call::Suspend(_) | Call::Resume(_));
+            if changes && self.joins() {
+                // Danger: what the older process has still to tell would count in place of this newer word.
+                self.early.push((key, call));
+                continue;
+            }
             let reply = match call {
                 Call::Ready if self.life.serves() => Reply::Yes,
                 Call::Ready => Reply::NotNow,
@@ -643,8 +652,7 @@
 
     /// Begins to serve, unless an older process has still to tell what it holds.
     fn begin(&mut self) {
-        let joining = self.handover.as_ref().is_some_and(Handover::joining);
-        if self.life.stage() == Stage::Starting && !joining {
+        if self.life.stage() == Stage::Starting && !self.joins() {
             self.life.start();
             if let Some(handover) = &mut self.handover {
                 handover.open(&mut self.reactor);
@@ -653,6 +661,15 @@
             self.agents.listen(&self.reactor, true);
             self.heed();
         }
+        if !self.joins() {
+            let early = std::mem::take(&mut self.early);
+            self.called(early);
+        }
+    }
+
+    /// Whether an older process has still to tell what it holds.
+    fn joins(&self) -> bool {
+        self.handover.as_ref().is_some_and(Handover::joining)
     }
 
     /// Once told to stop: has another process of this node take over, if one can.
