Keep each job with its own client when a descriptor finds no place in a hand-over

Found by reading the hand-over. A process that takes over may have no descriptor left; the system then drops the one that comes with a message and says that ancillary data were cut (MSG_CTRUNC), which `Session::read` did not look at. Descriptors were joined to messages by order alone: a job whose message came whole only in a later read took the next job's connection, and that client would have had the answer to another's job. And a job without its connection was dropped, while its attempts ran on for nobody.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -757,12 +757,13 @@
                 handover::Event::News(_, News::Client(input, useful), Some(descriptor)) => {
                     self.agents.adopt(&mut self.reactor, descriptor.into(), input, useful);
                 }
-                handover::Event::News(link, News::Job(job, input, closes), Some(descriptor)) => {
-                    let adopted = self.agents.adopt_held(&mut self.reactor, descriptor.into(), input, closes);
-                    if let Some(agent) = adopted {
-                        let agent = Some(agent).filter(|agent| self.agents.waits(*agent));
-                        self.reactor.queue.push_back(Input::Moved(link, agent, job));
-                    }
+                handover::Event::News(link, News::Job(job, input, closes), descriptor) => {
+                    // Without its connection, for which there may have been no descriptor left, its user agent has gone.
+                    let adopted = descriptor.and_then(|descriptor| {
+                        self.agents.adopt_held(&mut self.reactor, descriptor.into(), input, closes)
+                    });
+                    let agent = adopted.filter(|agent| self.agents.waits(*agent));
+                    self.reactor.queue.push_back(Input::Moved(link, agent, job));
                 }
                 handover::Event::News(link, news, _) => self.news(link, news),
                 handover::Event::Over(link, waiting, stalled) => self.unlinked(link, waiting, stalled),
@@ -837,7 +838,7 @@
                 None => self.say(link, &Message::Called { number, known: false }),
             },
             News::Called(agent, known) => self.word(agent, known),
-            // Without its descriptor there is nothing to take over.
+            // Without its descriptor there is nothing to take over; what becomes of a job is said with its event.
             News::Client(..) | News::Job(..) => {}
             News::Leaves => tracing::info!("the older process of this node leaves"),
         }
--- a/src/net/peers/handover.rs
+++ b/src/net/peers/handover.rs
@@ -4,8 +4,8 @@
 use crate::net::ground::reactor::{Due, Owner, Reactor};
 use postproxy_handover::{Link, Message, News, Role, frame, greeting};
 use rustix::net::{
-    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
-    SendFlags,
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
 };
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
@@ -46,8 +46,8 @@
     /// How much of the first of them is.
     written: usize,
     queued: usize,
-    /// Descriptors that have come, in their order.
-    came: VecDeque<OwnedFd>,
+    /// Descriptors that have come, in their order; `None` for one that found no place here.
+    came: VecDeque<Option<OwnedFd>>,
 }
 
 impl Session {
@@ -93,17 +93,22 @@
             let mut control = RecvAncillaryBuffer::new(&mut space);
             let mut slice = [IoSliceMut::new(&mut bytes)];
             let flags = RecvFlags::CMSG_CLOEXEC;
-            let size = match rustix::net::recvmsg(&self.stream, &mut slice, &mut control, flags) {
-                Ok(received) => received.bytes,
+            let (size, cut) = match rustix::net::recvmsg(&self.stream, &mut slice, &mut control, flags) {
+                Ok(received) => (received.bytes, received.flags.contains(ReturnFlags::CTRUNC)),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 Err(error) => return Err(error.into()),
             };
             for message in control.drain() {
                 if let RecvAncillaryMessage::ScmRights(descriptors) = message {
-                    self.came.extend(descriptors);
+                    self.came.extend(descriptors.map(Some));
                 }
             }
+            if cut {
+                // Danger: the next message's would be taken for its, and a job be answered to another's user agent. The
+                // other side sends one at a time, and a read ends behind it.
+                self.came.push_back(None);
+            }
             if size == 0 {
                 return Err(ErrorKind::UnexpectedEof.into());
             }
@@ -276,7 +281,7 @@
         let mut events = Vec::new();
         for news in news {
             let descriptor = if matches!(news, News::Client(..) | News::Job(..)) {
-                session.came.pop_front()
+                session.came.pop_front().flatten()
             } else {
                 None
             };
