Count own jobs for all dispatchers where workers report nothing; budget copies there

Two causes, both in src/policy.rs. `wait` was 0 without a report, so that no queue was ever too long and under load nearly all came late.

Now own jobs count once for each dispatcher there (`load`), `wait` goes by that, and copies keep to the budget.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -159,7 +159,9 @@
         let mean = known.get(&w.entry.kind).copied().unwrap_or(self.known.mean_load) * (-old).exp();
         let age = |r: Report| (self.now - r.at).max(0.0) / (OLD * self.known.usual);
         let known = w.report.map_or(0.0, |r| (-age(r)).exp() * (w.others - mean));
-        (mean + known).max(0.0) + w.own_before(f64::INFINITY)
+        // Without reports own jobs alone show no queue: the others are taken to hold as much there.
+        let alike = if self.set.reports == Reports::None { self.set.balancers.max(1).into() } else { 1.0 };
+        (mean + known).max(0.0) + w.own_before(f64::INFINITY) * alike
     }
 
     /// Whether own jobs are so many that their answers tell of all workers while reports count.
@@ -174,7 +176,8 @@
 
     /// Expected wait for a slot.
     fn wait(&self, w: &Worker) -> f64 {
-        let (slots, known) = (self.slots(w).max(1.0), self.known.kind_others.contains_key(&w.entry.kind));
+        let known = self.set.reports == Reports::None || self.known.kind_others.contains_key(&w.entry.kind);
+        let slots = self.slots(w).max(1.0);
         if known { (self.load(w) - slots).max(0.0) / slots * self.known.usual } else { 0.0 }
     }
 
@@ -599,7 +602,8 @@
         // Exception: a copy of a job that waits or is silent, where its class allows. Danger: a hung or full
         // worker holds it. Harm: waste; so a budget binds, unless one is stated or only copies find room.
         let allowed = self.set.classes[r.class].effect != Effect::Unsafe && r.out() < 2;
-        let free = self.set.retry_budget.is_some() || self.waits(false) && !self.set.may_probe;
+        let only = self.waits(false) && !self.set.may_probe && self.set.reports != Reports::None;
+        let free = self.set.retry_budget.is_some() || only;
         if allowed && (free || self.known.retries >= 1.0) {
             self.place(id);
         }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -299,6 +299,56 @@
     assert_eq!(bed.note(1, 1, Note::Started), [Action::Cancel { request: 1, attempt: 0 }]);
 }
 
+/// Guards against queues that nobody sees where workers report nothing, in which all jobs come too late: what other dispatchers
+/// hold at a worker is taken to be as much as this one does.
+#[test]
+fn where_nothing_is_reported_no_job_joins_a_queue_in_which_it_would_be_late() {
+    for (dispatchers, sent) in [(4, 2), (1, 3)] {
+        let mut bed = Bed::new(
+            settings(|s| {
+                s["balancers"] = dispatchers.into();
+                s["report"] = serde_json::json!({"fields": [], "via": "none"});
+            }),
+            2,
+        );
+        let first: Vec<_> = (1..=3).map(|id| bed.request(id, 0)).collect();
+        let mut due = first.iter().flat_map(|actions| timers(actions)).collect();
+        let to: Vec<_> = first.iter().flat_map(|actions| sends(actions)).collect();
+        assert_eq!(to.len(), sent, "{dispatchers} dispatchers");
+        if sent == 2 {
+            assert_ne!(to[0], to[1]);
+            // It is held, and not for ever: it goes where one ends.
+            bed.outcome(1, 0, to[0], Outcome::Ok);
+            assert_eq!(sends(&bed.run(100.4, &mut due)), [to[0]]);
+        }
+    }
+}
+
+/// Guards against copies that double the load of a fleet that is full already, where nothing tells that it is.
+#[test]
+fn where_nothing_is_reported_copies_keep_to_a_budget() {
+    let mut bed = Bed::new(
+        settings(|s| {
+            s["extra"]["tells-start"] = true.into();
+            s["report"] = serde_json::json!({"fields": [], "via": "none"});
+        }),
+        64,
+    );
+    let mut copies = 0;
+    for id in 0..400 {
+        let actions = bed.request(id, 0);
+        let (to, mut due) = (sends(&actions), timers(&actions));
+        let copy = sends(&bed.run(bed.now + 0.3, &mut due));
+        copies += copy.len();
+        bed.event(Event::ClientGone { request: id });
+        for (to, attempt) in to.into_iter().chain(copy).zip(0..) {
+            bed.outcome(id, attempt, to, Outcome::Cancelled);
+        }
+    }
+    // One in twenty, and those that may be saved for a bad moment.
+    assert!((20..=30).contains(&copies), "{copies} copies of 400 jobs");
+}
+
 #[test]
 fn nothing_goes_to_a_worker_told_draining_or_gone() {
     let mut bed = Bed::new(settings(|_| ()), 3);
