--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -19,8 +19,39 @@
 
 impl World {
     fn new() -> Self {
+        Self::with(8, 60.0)
+    }
+
+    /// With so many connections at most, to workers that close what has been idle for so long.
+    fn with(most: usize, idle: f64) -> Self {
         let reactor = Reactor::new(1000.0).expect("a reactor");
-        Self { reactor, passes: ProxyPasses::new(8, 0.25, 60.0), worker: port() }
+        Self { reactor, passes: ProxyPasses::new(most, 0.25, idle), worker: port() }
+    }
+
+    /// Starts passes at one time, each of which a worker takes on a connection of its own; these are idle then.
+    fn taken(&mut self, passes: &[PassId]) -> Vec<Peer> {
+        passes.iter().for_each(|pass| self.start(*pass));
+        let mut peers: Vec<Peer> = passes.iter().map(|_| Peer::accept(&self.worker)).collect();
+        for peer in &mut peers {
+            // It is written once the connection is known to be made.
+            peer.stream.set_nonblocking(true).expect("a setting");
+            self.until(|_| peer.stream.peek(&mut [0]).is_ok_and(|size| size > 0).then_some(()));
+            peer.stream.set_nonblocking(false).expect("a setting");
+            peer.request();
+            peer.write(ACCEPTED);
+            assert_eq!(self.end().1, PassEnd::Accepted);
+        }
+        peers
+    }
+
+    /// Starts a pass at this time; whether it goes out on a connection of its own.
+    fn dials(&mut self, at: f64, pass: PassId) -> bool {
+        self.reactor.now = at;
+        self.worker.set_nonblocking(true).expect("a setting");
+        self.start(pass);
+        let came = self.worker.accept().is_ok();
+        self.worker.set_nonblocking(false).expect("a setting");
+        came
     }
 
     fn start(&mut self, pass: PassId) {
@@ -31,7 +62,7 @@
     }
 
     /// Lets sockets be read until this is found.
-    fn until<T>(&mut self, found: impl Fn(&mut Self) -> Option<T>) -> T {
+    fn until<T>(&mut self, mut found: impl FnMut(&mut Self) -> Option<T>) -> T {
         let mut events = Vec::new();
         loop {
             if let Some(found) = found(self) {
@@ -146,3 +177,82 @@
         assert!(!again, "{what}: a second end");
     }
 }
+
+/// Guards against a load report that is misread, or in which a broken figure becomes a 0.
+#[test]
+fn a_load_report_is_read_by_name() {
+    let mut world = World::new();
+    world.start(1);
+    let mut peer = Peer::accept(&world.worker);
+    peer.write("HTTP/1.1 202 Accepted\r\nX-Load: TEXT inflight=7, queue=2, util=0.61, x0=what\r\nContent-Length: 0\r\n\r\n");
+    let load = world.until(|world| {
+        std::iter::from_fn(|| world.reactor.queue.pop_front()).find_map(|input| match input {
+            Input::Pass(1, PassEnd::Accepted, load) => Some(load),
+            _ => None,
+        })
+    });
+    let names: Vec<_> = load.iter().map(|(name, value)| (name.as_str(), *value)).collect();
+    assert_eq!(names, [("inflight", 7.0), ("queue", 2.0), ("util", 0.61)]);
+}
+
+/// Guards against writing one request after the other to idle connections that break at once: the first one that does tells how long
+/// others may have lain idle, for a while.
+#[test]
+fn a_connection_that_broke_when_used_again_tells_of_the_others() {
+    let mut world = World::new();
+    let mut peers = world.taken(&[1, 2]);
+    assert!(!world.dials(1000.8, 3), "an idle one is used again");
+    drop(peers.pop()); // the one that was used last; its request is unread, so that it is reset
+    assert_eq!(world.end(), (3, PassEnd::Reset));
+    assert!(world.dials(1000.8, 4), "0.8 s are too long now: a new connection");
+    assert_eq!(world.passes.count(), 1, "and the other idle one is gone");
+    // Half of that is learned, and it doubles every 5 s, up to what would count without it: 48 s.
+    for (after, may, may_not) in [(0.0, 0.39, 0.5), (5.0, 0.79, 1.0), (100.0, 47.0, 48.5)] {
+        for (rests, dials) in [(may, false), (may_not, true)] {
+            let mut world = World::new();
+            let mut peers = world.taken(&[1, 2]);
+            assert!(!world.dials(1000.8, 3));
+            drop(peers.pop());
+            assert_eq!(world.end(), (3, PassEnd::Reset));
+            world.reactor.now = 1000.8 + after;
+            let _peers = world.taken(&[5]);
+            assert_eq!(world.dials(1000.8 + after + rests, 6), dials, "{after} s later, after {rests} s");
+        }
+    }
+}
+
+/// Guards against a shortage of this node's being told as a worker's fault.
+#[test]
+fn without_a_place_for_a_connection_the_worker_is_not_to_blame() {
+    let mut world = World::with(0, 5.0);
+    world.start(7);
+    assert!(matches!(world.reactor.queue.pop_front(), Some(Input::Pass(7, PassEnd::NoRoom, _))));
+}
+
+/// Guards against writing to the idle connections of a worker that has left something without an answer: if it has vanished, a new
+/// connection is not made and so proves that nothing ran.
+#[test]
+fn the_idle_connections_of_a_silent_worker_are_not_used() {
+    let mut world = World::new();
+    let mut peers = world.taken(&[1, 2]);
+    assert!(
+        !world.dials(1001.0, 3) && !world.dials(1001.0, 4),
+        "a worker that answers keeps its connections"
+    );
+    assert_eq!(world.passes.count(), 2);
+    peers[0].write(ACCEPTED);
+    world.end();
+    assert!(world.dials(1001.3, 5), "a new connection");
+    assert_eq!(world.passes.count(), 2, "the idle one is gone");
+}
+
+/// Guards against keeping a connection until its worker may be closing it.
+#[test]
+fn idle_connections_are_given_up_well_before_their_workers_do() {
+    // Not told: not for long.
+    for (idle, most) in [(0.5, 0.45), (5.0, 4.5), (60.0, 54.0), (0.0, 1.0)] {
+        let mut world = World::with(8, idle);
+        let _peers = world.taken(&[1]);
+        assert!(world.dials(1000.001 + most, 2), "{idle} s");
+    }
+}
--- /dev/null
+++ b/tests/backoff.rs
@@ -0,0 +1,44 @@
+//! Waits between attempts at what keeps failing.
+
+use postproxy::net::back::backoff::Backoff;
+
+/// Guards against nodes that know each other and come at one moment all the same.
+#[test]
+fn nodes_that_know_each_other_come_one_after_another() {
+    let second = |at| {
+        let mut waits = Backoff::new(0.1, 5.0, 7);
+        waits.place(at, 10);
+        waits.wait();
+        waits.wait()
+    };
+    let waits: Vec<f64> = (0..10).map(second).collect();
+    assert!(waits.windows(2).all(|pair| (pair[1] - pair[0] - 0.01).abs() < 1e-9), "{waits:?}");
+    let mut alone = Backoff::new(0.1, 5.0, 7);
+    alone.place(0, 1);
+    let mut plain = Backoff::new(0.1, 5.0, 7);
+    for _ in 0..9 {
+        assert_eq!(alone.wait().to_bits(), plain.wait().to_bits(), "one that knows nobody waits as before");
+    }
+}
+
+/// Guards against a first wait that is long, steps that do not grow or grow without end, and nodes that
+/// call in step with each other.
+#[test]
+fn waits_grow_to_their_limit_and_differ_by_seed() {
+    let waits = |seed| {
+        let mut backoff = Backoff::new(0.1, 2.0, seed);
+        (0..40).map(|_| backoff.wait()).collect::<Vec<f64>>()
+    };
+    let (one, other) = (waits(1), waits(2));
+    assert_eq!(one[0], 0.1);
+    for (step, wait) in one.iter().enumerate().skip(1) {
+        let whole = (0.1 * 2f64.powi(step as i32)).min(2.0);
+        assert!((whole / 2.0..=whole).contains(wait), "step {step}: {wait}");
+    }
+    assert!(one.iter().zip(&other).skip(1).all(|(a, b)| a != b));
+    let mut backoff = Backoff::new(0.1, 2.0, 1);
+    backoff.wait();
+    backoff.wait();
+    backoff.reset();
+    assert_eq!(backoff.wait(), 0.1);
+}
