Test floods, answers without end from discovery, and 0.1 s for a client that left

tests/shortage.rs: six flooders of bursts of eight that send 300 KiB and go, and four clients beside them on the real program with 128 descriptors: 50 of 50 jobs served to each, under 64 MB, and all descriptors given back. tests/worker_list.rs: five answers of discovery that never end; the call is made again within 0.2 s. tests/leaving.rs: nine in ten clients that leave, in six ways, are noticed within 0.1 s; the tests before showed the order alone.

A discovery that is 'down' in tests/shortage.rs is at an address where nobody else can come to listen.

--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -100,6 +100,38 @@
     }
 }
 
+/// Guards against a client's end that is noticed late: what begins for nobody counts 0.1 s after it. Nine in ten, since the machine may
+/// be busy.
+#[test]
+fn a_client_that_leaves_is_noticed_within_a_tenth_of_a_second() {
+    let bed = Bed::new(1, 256);
+    let (mut at, mut took) = (None, Vec::new());
+    for n in 0..30 {
+        let (id, way) = (format!("job-{n}"), WAYS[n % WAYS.len()]);
+        let mut agent = Peer::to(bed.node);
+        agent.submit(&id);
+        let (mut worker, from) = match at.take() {
+            Some((worker, from)) => on(&bed, worker, from),
+            None => first(&bed),
+        };
+        assert_eq!(worker.request().headers.get("x-request-id"), Some(id.as_str()));
+        worker.write(ACCEPTED);
+        bed.settled();
+        way.sends_behind(&mut agent);
+        way.goes(agent);
+        let left = Instant::now();
+        assert_eq!(worker.request().target, format!("/jobs/{id}"));
+        took.push((left.elapsed(), way));
+        worker.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(bed.call(&id, from, r#""state":"lost""#), 200);
+        at = Some((worker, from));
+    }
+    took.sort_by_key(|(time, _)| *time);
+    assert!(took[26].0 < Duration::from_millis(100), "{took:?}");
+    drop(at);
+    bed.stop();
+}
+
 /// The first connection that is made to any worker, and whose.
 fn first(bed: &Bed) -> (Peer, usize) {
     let start = Instant::now();
--- a/tests/shortage.rs
+++ b/tests/shortage.rs
@@ -84,6 +84,13 @@
         fields[11].parse::<u64>().expect("a number") + fields[12].parse::<u64>().expect("a number")
     }
 
+    /// The most memory it has held so far, in kB.
+    fn most_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a figure");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
     }
@@ -165,6 +172,66 @@
     assert_eq!(workers[0].runs().len(), old, "nothing goes to the one that leaves: {}", running.log());
 }
 
+/// Guards against a flood that takes the others' places, memory or descriptors: clients that send much at once and go, with an end or a
+/// reset, come back at once, and say nothing, half a request, or what can't be read. Beside them others work as before.
+#[test]
+fn who_sends_much_and_goes_leaves_the_others_served() {
+    let worker = Worker::start("s-0", Duration::from_millis(5)).expect("a worker");
+    let running = Running::start("flood", free(), &[member("s-0", worker.address)], 128);
+    until("it is ready", || running.ready());
+    worker.reports_to(running.at);
+    let (at, over) = (running.at, std::sync::atomic::AtomicBool::new(false));
+    let going = || !over.load(std::sync::atomic::Ordering::SeqCst);
+    let much = vec![b'x'; 300 << 10];
+    let texts: [&[u8]; 5] = [
+        b"",
+        b"POST /reroute/x HTTP/1.1\r\nX-Requ",
+        b"no request\r\n\r\n",
+        b"POST /reroute/x HTTP/1.1\r\nX-Request-Id: a\r\nContent-Length: 99999999\r\n\r\n",
+        b"GET /-/ready HTTP/1.1\r\n\r\n",
+    ];
+    std::thread::scope(|scope| {
+        for flooder in 0..6usize {
+            let (going, much) = (&going, &much);
+            scope.spawn(move || {
+                for n in flooder.. {
+                    if !going() {
+                        return;
+                    }
+                    let burst: Vec<TcpStream> = (0..8)
+                        .filter_map(|_| TcpStream::connect_timeout(&at, Duration::from_secs(1)).ok())
+                        .collect();
+                    for (mut stream, k) in burst.into_iter().zip(0..) {
+                        let _ = stream.set_write_timeout(Some(Duration::from_millis(50)));
+                        let _ = stream
+                            .write_all(texts[(n + k) % texts.len()])
+                            .and_then(|()| stream.write_all(much));
+                        if k % 2 == 0 {
+                            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                        }
+                    }
+                }
+            });
+        }
+        let others: Vec<_> = (0..4)
+            .map(|client| {
+                scope.spawn(move || {
+                    let answers =
+                        (0..50).map(|n| job(at, &format!("other-{client}-{n}")).map(|answer| answer.status));
+                    answers.filter(|status| *status == Some(200)).count()
+                })
+            })
+            .collect();
+        let served: Vec<usize> = others.into_iter().map(|other| other.join().expect("a client")).collect();
+        let (descriptors, most) = (running.descriptors(), running.most_memory());
+        over.store(true, std::sync::atomic::Ordering::SeqCst);
+        assert!(served.iter().all(|served| *served == 50), "{served:?} of 50 each");
+        assert!(descriptors <= 128 && most < 64 << 10, "{descriptors} descriptors, {most} kB");
+    });
+    // What was opened for it is closed again.
+    until("the flood's connections end", || running.descriptors() < 40);
+}
+
 /// What discovery is like when processes start.
 #[derive(Clone, Copy, Debug)]
 enum Is {
@@ -181,7 +248,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let at = listener.local_addr().expect("an address");
     match is {
-        Is::Down => (at, None),
+        // Where nobody else can come to listen.
+        Is::Down => (free(), None),
         Is::Silent => (at, Some(listener)),
         Is::Slow | Is::Crowded => {
             let kept = listener.try_clone().expect("a listener");
--- a/tests/worker_list.rs
+++ b/tests/worker_list.rs
@@ -277,6 +277,37 @@
     assert!(second.is_some_and(|(second, _)| second - at < 4.0), "beside one that never ends");
 }
 
+/// Guards against an answer of discovery that never ends and is read for ever, or is held until its call has had its time though it
+/// can't become a list any more: the call is made again soon, on another connection.
+#[test]
+fn an_answer_without_end_ends_its_call() {
+    let chunk = format!("100000\r\n{}\r\n", "x".repeat(1 << 20));
+    let endless = [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "of the same "),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk.as_str()),
+        ("HTTP/1.1 200 OK\r\n", "X-More: of the same\r\n"),
+        ("HTTP/1.1 200 OK\r\nX-Line: ", "of the same "),
+        ("no HTTP\r\n\r\n", "of the same "),
+    ];
+    for (begins, goes_on) in endless {
+        let mut bed = Bed::new(Some(5), 7);
+        let (at, call) = bed.call(1001.0).expect("a watch");
+        let (mut peer, text) = (call.peer, begins.to_owned() + &goes_on.repeat((16 << 20) / goes_on.len()));
+        let writer = std::thread::spawn(move || {
+            peer.write_all(text.as_bytes()).is_err() || !matches!(peer.read(&mut [0]), Ok(1..))
+        });
+        bed.until(|bed| bed.list.out() == 0);
+        assert!(writer.join().expect("discovery's part"), "{begins:?}: its connection goes on");
+        let (again, call) = bed.call(at + 5.0).expect("another");
+        assert!(
+            again - at < 0.2 && call.target.starts_with("/api/targets?since=5&"),
+            "{begins:?}: after {} s",
+            again - at
+        );
+        assert!(bed.reactor.queue.is_empty());
+    }
+}
+
 /// Guards against a start with an older list than the one that was held, or with one whose versions mean nothing here;
 /// against a kept list that misses changes, or holds what has gone.
 #[test]
