--- a/benches/hub.rs
+++ b/benches/hub.rs
@@ -4,7 +4,9 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use postproxy::net::hub::transaction::Hub;
-use postproxy::net::words::{Command, Input, JobCall, JobState, Load, Member, PassEnd, Payload, Submission};
+use postproxy::net::words::{
+    AttemptEnd, Command, Input, JobCall, JobState, Load, Member, Payload, Submission,
+};
 use postproxy::{Entry, ListKind, Settings};
 use tracing_subscriber::EnvFilter;
 
@@ -33,12 +35,12 @@
     let mut out = Vec::new();
     hub.handle(now, Input::Arrived(n, Submission { payload, ..Submission::default() }), &mut out);
     let started = out.iter().find_map(|command| match command {
-        Command::Start(pass, worker, ..) => Some((*pass, worker.port() - 9000)),
+        Command::Start(attempt, worker, ..) => Some((*attempt, worker.port() - 9000)),
         _ => None,
     });
-    let (pass, worker) = started.expect("a pass");
-    hub.handle(now, Input::Written(pass), &mut out);
-    hub.handle(now, Input::Pass(pass, PassEnd::Accepted, Load::new()), &mut out);
+    let (attempt, worker) = started.expect("an attempt");
+    hub.handle(now, Input::Written(attempt), &mut out);
+    hub.handle(now, Input::Attempt(attempt, AttemptEnd::Accepted, Load::new()), &mut out);
     let load = vec![("queue".to_owned(), 0.0), ("x0".to_owned(), 4.0)];
     let state = JobState::Done(b"result".to_vec());
     let call = JobCall { id: format!("job-{n}"), from: format!("s-{worker}"), state, load };
--- a/src/net/back/proxy_pass.rs
+++ b/src/net/back/attempts.rs
@@ -1,9 +1,9 @@
-//! Proxy passes: connections to workers, the pool of idle ones, and one attempt's life on them.
+//! Attempts: connections to workers, the pool of idle ones, and one attempt's life on them.
 
 use crate::net::ground::connection::{Callbacks, Connection, State};
 use crate::net::ground::http::{self, Read, Response};
 use crate::net::ground::reactor::{self, Due, Owner, Reactor};
-use crate::net::words::{Input, Load, PassEnd, PassId, Payload};
+use crate::net::words::{AttemptEnd, AttemptId, Input, Load, Payload};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
@@ -17,9 +17,9 @@
 /// It is never learned to be shorter.
 const WORN_LEAST: f64 = 0.02;
 /// A connection on which a worker has answered anything but that it takes the job is used again after this time, in seconds: it
-/// may answer twice, some milliseconds apart, and the second would be taken for the next pass's.
+/// may answer twice, some milliseconds apart, and the second would be taken for the next attempt's.
 const AGAIN_AFTER: f64 = 0.05;
-/// How long the answer to a cancel, or to a pass that has been decided, is waited for.
+/// How long the answer to a cancel, or to an attempt that has been decided, is waited for.
 const PATIENCE: f64 = 2.0;
 
 /// What a connection is carrying.
@@ -27,24 +27,24 @@
 enum Errand {
     /// Nothing.
     Idle,
-    /// A pass; whether its last byte was written.
-    Pass(PassId, bool),
-    /// A cancel, or a pass whose end no longer matters.
+    /// An attempt; whether its last byte was written.
+    Attempt(AttemptId, bool),
+    /// A cancel, or an attempt whose end no longer matters.
     Other,
 }
 
 struct Errands {
     worker: SocketAddr,
     errand: Errand,
-    /// The pass that it carries or carried last.
-    pass: Option<PassId>,
+    /// The attempt that it carries or carried last.
+    attempt: Option<AttemptId>,
     /// Since when it has carried its errand, or lain idle.
     since: f64,
     /// Since when it may be used again.
     usable_from: f64,
     /// For how long it had lain idle before its errand; a new one has not.
     rested: Option<f64>,
-    /// It broke under a pass that had no answer yet.
+    /// It broke under an attempt that had no answer yet.
     broke: bool,
     /// Counts the errands, so that a timer of an earlier one is known.
     round: u64,
@@ -56,11 +56,11 @@
 }
 
 /// The connections to all workers.
-pub struct ProxyPasses {
+pub struct Attempts {
     sessions: HashMap<usize, Session>,
     /// Idle connections by worker; the last used comes first.
     idle: HashMap<SocketAddr, Vec<usize>>,
-    by_pass: HashMap<PassId, usize>,
+    by_attempt: HashMap<AttemptId, usize>,
     most: usize,
     dial_timeout: f64,
     keep: f64,
@@ -76,28 +76,28 @@
 
 impl Caller<'_> {
     fn written(&mut self, connection: &Connection<TcpStream>) {
-        if let Errand::Pass(pass, written @ false) = &mut self.errands.errand
+        if let Errand::Attempt(attempt, written @ false) = &mut self.errands.errand
             && connection.flushed()
             && !matches!(connection.state(), State::Dialing | State::Ended)
         {
             *written = true;
-            self.reactor.queue.push_back(Input::Written(*pass));
+            self.reactor.queue.push_back(Input::Written(*attempt));
         }
     }
 
-    fn over(&mut self, end: PassEnd, load: Load) {
-        if let Errand::Pass(pass, _) = std::mem::replace(&mut self.errands.errand, Errand::Other) {
-            self.reactor.queue.push_back(Input::Pass(pass, end, load));
+    fn over(&mut self, end: AttemptEnd, load: Load) {
+        if let Errand::Attempt(attempt, _) = std::mem::replace(&mut self.errands.errand, Errand::Other) {
+            self.reactor.queue.push_back(Input::Attempt(attempt, end, load));
         }
     }
 
     fn answered(&mut self, response: &Response, early: bool) {
         let not_run = response.headers.get("x-not-run") == Some("1");
         let end = match response.status {
-            202 if early => PassEnd::NeverSent, // the worker will never have it whole
-            202 => PassEnd::Accepted,
-            503 | 504 if not_run => PassEnd::NotRun,
-            _ => PassEnd::Error,
+            202 if early => AttemptEnd::NeverSent, // the worker will never have it whole
+            202 => AttemptEnd::Accepted,
+            503 | 504 if not_run => AttemptEnd::NotRun,
+            _ => AttemptEnd::Error,
         };
         self.over(end, response.headers.get("x-load").map(load_header).unwrap_or_default());
     }
@@ -108,7 +108,7 @@
         self.written(connection);
         let ended = connection.heard_all();
         // Bytes on an idle connection belong to nothing; an early answer, to a request not yet written, ends it.
-        let early = matches!(self.errands.errand, Errand::Pass(_, false));
+        let early = matches!(self.errands.errand, Errand::Attempt(_, false));
         match http::read_response(&connection.input, ended, http::MOST_BODY) {
             _ if self.errands.errand == Errand::Idle => connection.abort(),
             Ok(Read::Whole(response, size)) => {
@@ -122,7 +122,7 @@
                     connection.abort();
                 }
             }
-            // Danger: of one that is full no end would be seen, and its pass be held to its last moment.
+            // Danger: of one that is full no end would be seen, and its attempt be held to its last moment.
             Ok(_) if !ended && !connection.full() => {}
             Ok(_) | Err(_) => {
                 connection.abort();
@@ -132,9 +132,9 @@
     }
 
     fn ended(&mut self, _: &mut Connection<TcpStream>) {
-        self.errands.broke |= matches!(self.errands.errand, Errand::Pass(..));
-        let written = matches!(self.errands.errand, Errand::Pass(_, true));
-        self.over(if written { PassEnd::Reset } else { PassEnd::NeverSent }, Load::new());
+        self.errands.broke |= matches!(self.errands.errand, Errand::Attempt(..));
+        let written = matches!(self.errands.errand, Errand::Attempt(_, true));
+        self.over(if written { AttemptEnd::Reset } else { AttemptEnd::NeverSent }, Load::new());
     }
 }
 
@@ -149,12 +149,12 @@
     pairs.filter_map(pair).collect()
 }
 
-impl ProxyPasses {
+impl Attempts {
     /// No connections yet, at most so many ever.
     pub fn new(most: usize, dial_timeout: f64, conn_idle: f64) -> Self {
         let keep = if conn_idle > 0.0 { conn_idle * IDLE_SHARE } else { 1.0 };
-        let (sessions, idle, by_pass) = Default::default();
-        Self { sessions, idle, by_pass, most, dial_timeout, keep, worn: (keep, 0.0) }
+        let (sessions, idle, by_attempt) = Default::default();
+        Self { sessions, idle, by_attempt, most, dial_timeout, keep, worn: (keep, 0.0) }
     }
 
     /// Holds at most so many connections from now on.
@@ -167,11 +167,11 @@
         self.sessions.len()
     }
 
-    /// Starts a pass that may take so many seconds.
+    /// Starts an attempt that may take so many seconds.
     pub fn start(
         &mut self,
         reactor: &mut Reactor,
-        pass: PassId,
+        attempt: AttemptId,
         worker: SocketAddr,
         payload: &Payload,
         wait: f64,
@@ -185,14 +185,14 @@
         }
         let mut bytes = Vec::new();
         http::write_request(&mut bytes, &payload.method, &payload.target, &fields, &payload.body);
-        self.carry(reactor, worker, Errand::Pass(pass, false), &bytes, wait + PATIENCE);
+        self.carry(reactor, worker, Errand::Attempt(attempt, false), &bytes, wait + PATIENCE);
     }
 
-    /// Gives a pass up: tells its worker, or closes its connection where the worker has not answered.
+    /// Gives an attempt up: tells its worker, or closes its connection where the worker has not answered.
     pub fn abandon(
         &mut self,
         reactor: &mut Reactor,
-        pass: PassId,
+        attempt: AttemptId,
         worker: SocketAddr,
         id: &str,
         accepted: bool,
@@ -203,7 +203,7 @@
             http::write_request(&mut bytes, "DELETE", &target, &[("Host", &host)], b"");
             return self.carry(reactor, worker, Errand::Other, &bytes, PATIENCE);
         }
-        if let Some(key) = self.by_pass.get(&pass).copied() {
+        if let Some(key) = self.by_attempt.get(&attempt).copied() {
             if self.silent(reactor.now, worker) {
                 self.forget(reactor, worker);
             }
@@ -219,8 +219,8 @@
         let key = match self.pooled(reactor, worker).map_or_else(|| self.dial(reactor, worker), Ok) {
             Ok(key) => key,
             Err(end) => {
-                if let Errand::Pass(pass, _) = errand {
-                    reactor.queue.push_back(Input::Pass(pass, end, Load::new()));
+                if let Errand::Attempt(attempt, _) = errand {
+                    reactor.queue.push_back(Input::Attempt(attempt, end, Load::new()));
                 }
                 return;
             }
@@ -231,11 +231,11 @@
         session.errands.since = reactor.now;
         session.errands.round += 1;
         let round = session.errands.round;
-        if let Errand::Pass(pass, _) = errand {
-            session.errands.pass = Some(pass);
-            self.by_pass.insert(pass, key);
+        if let Errand::Attempt(attempt, _) = errand {
+            session.errands.attempt = Some(attempt);
+            self.by_attempt.insert(attempt, key);
         }
-        reactor.timer(reactor.now + wait, Due::Pass(key, round));
+        reactor.timer(reactor.now + wait, Due::Attempt(key, round));
         let mut caller = Caller { errands: &mut session.errands, reactor };
         session.connection.send(bytes, &mut caller);
         caller.written(&session.connection);
@@ -257,14 +257,14 @@
         }
     }
 
-    /// Gives a pass back whose last byte is not written: nothing ran, and its worker is not to blame. Only the
+    /// Gives an attempt back whose last byte is not written: nothing ran, and its worker is not to blame. Only the
     /// connection knows; what has been written whole goes on.
-    pub fn withdraw(&mut self, reactor: &mut Reactor, pass: PassId) {
-        let Some(key) = self.by_pass.get(&pass).copied() else { return };
+    pub fn withdraw(&mut self, reactor: &mut Reactor, attempt: AttemptId) {
+        let Some(key) = self.by_attempt.get(&attempt).copied() else { return };
         let Some(session) = self.sessions.get_mut(&key) else { return };
-        if session.errands.errand == Errand::Pass(pass, false) {
+        if session.errands.errand == Errand::Attempt(attempt, false) {
             session.connection.abort();
-            Caller { errands: &mut session.errands, reactor }.over(PassEnd::NoRoom, Load::new());
+            Caller { errands: &mut session.errands, reactor }.over(AttemptEnd::NoRoom, Load::new());
             self.after(reactor, key);
         }
     }
@@ -284,7 +284,7 @@
         }
         let most = self.usable(reactor.now);
         while let Some(key) = self.idle.get_mut(&worker).and_then(|pool| {
-            // The last used first, of those that may be used. Danger: a second 'not run' taken for the next pass's answer has a
+            // The last used first, of those that may be used. Danger: a second 'not run' taken for the next attempt's answer has a
             // job that runs sent elsewhere, too.
             let may =
                 |key: &usize| self.sessions.get(key).is_none_or(|s| s.errands.usable_from <= reactor.now);
@@ -301,24 +301,24 @@
         None
     }
 
-    fn dial(&mut self, reactor: &mut Reactor, worker: SocketAddr) -> Result<usize, PassEnd> {
+    fn dial(&mut self, reactor: &mut Reactor, worker: SocketAddr) -> Result<usize, AttemptEnd> {
         if self.sessions.len() >= self.most {
             // The first of a pool has been idle longest there; the lowest key was opened first.
             let oldest = self.idle.values().filter_map(|keys| keys.first()).min().copied();
-            self.drop(reactor, oldest.ok_or(PassEnd::NoRoom)?);
+            self.drop(reactor, oldest.ok_or(AttemptEnd::NoRoom)?);
         }
         // Danger: a shortage here told as a worker's fault would take sound workers out of the draw.
         let stream = reactor::dial(worker).map_err(|error| match error.kind() {
             ErrorKind::ConnectionRefused | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
-                PassEnd::NeverSent
+                AttemptEnd::NeverSent
             }
-            _ => PassEnd::NoRoom,
+            _ => AttemptEnd::NoRoom,
         })?;
-        let key = reactor.register(&stream, Owner::Pass).map_err(|_| PassEnd::NoRoom)?;
+        let key = reactor.register(&stream, Owner::Attempt).map_err(|_| AttemptEnd::NoRoom)?;
         let connection = Connection::new(stream, true, http::MOST_HEAD + 2 * http::MOST_BODY);
         let since = reactor.now;
-        let (errand, pass, rested, broke, round) = (Errand::Other, None, None, false, 0);
-        let errands = Errands { worker, errand, pass, since, usable_from: since, rested, broke, round };
+        let (errand, attempt, rested, broke, round) = (Errand::Other, None, None, false, 0);
+        let errands = Errands { worker, errand, attempt, since, usable_from: since, rested, broke, round };
         self.sessions.insert(key, Session { connection, errands });
         reactor.timer(reactor.now + self.dial_timeout, Due::Dial(key));
         Ok(key)
@@ -337,13 +337,13 @@
     pub fn dial_due(&mut self, reactor: &mut Reactor, key: usize) {
         if let Some(s) = self.sessions.get_mut(&key).filter(|s| s.connection.state() == State::Dialing) {
             s.connection.abort();
-            Caller { errands: &mut s.errands, reactor }.over(PassEnd::NeverSent, Load::new());
+            Caller { errands: &mut s.errands, reactor }.over(AttemptEnd::NeverSent, Load::new());
             self.after(reactor, key);
         }
     }
 
     /// An errand, or an idle connection, has had its time.
-    pub fn pass_due(&mut self, reactor: &mut Reactor, key: usize, round: u64) {
+    pub fn attempt_due(&mut self, reactor: &mut Reactor, key: usize, round: u64) {
         if let Some(s) = self.sessions.get_mut(&key).filter(|s| s.errands.round == round) {
             let silent = (s.errands.errand != Errand::Idle).then_some(s.errands.worker);
             s.connection.abort();
@@ -358,8 +358,8 @@
     /// Puts a connection back to where it belongs after something has happened on it.
     fn after(&mut self, reactor: &mut Reactor, key: usize) {
         let Some(session) = self.sessions.get_mut(&key) else { return };
-        if !matches!(session.errands.errand, Errand::Pass(..)) {
-            session.errands.pass.take().map(|pass| self.by_pass.remove(&pass));
+        if !matches!(session.errands.errand, Errand::Attempt(..)) {
+            session.errands.attempt.take().map(|attempt| self.by_attempt.remove(&attempt));
         }
         let at_once = reactor.now - session.errands.since <= self.dial_timeout;
         if let Some(rested) = session.errands.rested.filter(|_| session.errands.broke && at_once) {
@@ -373,7 +373,7 @@
         if session.errands.errand == Errand::Idle && !pool.contains(&key) {
             session.errands.round += 1;
             session.errands.since = reactor.now;
-            reactor.timer(reactor.now + self.keep, Due::Pass(key, session.errands.round));
+            reactor.timer(reactor.now + self.keep, Due::Attempt(key, session.errands.round));
             pool.push(key);
         }
     }
@@ -381,7 +381,7 @@
     fn drop(&mut self, reactor: &mut Reactor, key: usize) {
         let Some(session) = self.sessions.remove(&key) else { return };
         reactor.forget(session.connection.stream());
-        session.errands.pass.map(|pass| self.by_pass.remove(&pass));
+        session.errands.attempt.map(|attempt| self.by_attempt.remove(&attempt));
         if let Some(pool) = self.idle.get_mut(&session.errands.worker) {
             pool.retain(|k| *k != key);
             if pool.is_empty() {
--- a/src/net/ground/reactor.rs
+++ b/src/net/ground/reactor.rs
@@ -21,8 +21,8 @@
     Handover,
     /// The listener's or a user agent's.
     Agent,
-    /// A proxy pass's.
-    Pass,
+    /// An attempt's.
+    Attempt,
     /// Discovery's.
     Discovery,
     /// The store's, which tells what has become of writes.
@@ -38,7 +38,7 @@
     Owner::Door,
     Owner::Handover,
     Owner::Store,
-    Owner::Pass,
+    Owner::Attempt,
     Owner::Agent,
     Owner::Peers,
     Owner::Signal,
@@ -69,7 +69,7 @@
     /// Accepting goes on.
     Accept,
     /// A worker's connection, in its round.
-    Pass(usize, u64),
+    Attempt(usize, u64),
     /// A worker's connection that is being made.
     Dial(usize),
     /// A look at which call to discovery is due.
--- a/src/net/hub/transaction.rs
+++ b/src/net/hub/transaction.rs
@@ -1,4 +1,4 @@
-//! The hub: every transaction, from its arrival to the last word on its proxy passes. It alone calls the
+//! The hub: every transaction, from its arrival to the last word on its attempts. It alone calls the
 //! [`Dispatcher`]; it knows no sockets and no HTTP, so that another protocol can come through the same door.
 
 use super::keeping::{Asker, Care, Keeping};
@@ -7,8 +7,8 @@
     Settings, SettingsError, WorkerId, sound,
 };
 use crate::net::words::{
-    AgentId, Answer, Command, Due, Input, JobCall, JobState, Load, Member, PassEnd, PassId, Payload, Reply,
-    Submission, Wait,
+    AgentId, Answer, AttemptEnd, AttemptId, Command, Due, Input, JobCall, JobState, Load, Member, Payload,
+    Reply, Submission, Wait,
 };
 use crate::policy::Dispatcher;
 use postproxy_handover::Tale;
@@ -22,11 +22,11 @@
 
 struct Attempt {
     worker: usize,
-    pass: PassId,
+    attempt_id: AttemptId,
     sent: f64,
     /// When it ends for want of an answer.
     until: f64,
-    /// Its pass may start, or has: what must be durable first is.
+    /// Its attempt may start, or has: what must be durable first is.
     cleared: bool,
     written: bool,
     accepted: bool,
@@ -90,14 +90,19 @@
 struct Unwritten {
     request: RequestId,
     attempt: u16,
-    pass: PassId,
+    attempt_id: AttemptId,
     cleared: bool,
 }
 
 impl Transaction {
     fn unwritten(&self, request: RequestId) -> impl Iterator<Item = Unwritten> {
         let open = self.attempts.iter().zip(0..).filter(|(a, _)| !a.written && !a.ended);
-        open.map(move |(a, attempt)| Unwritten { request, attempt, pass: a.pass, cleared: a.cleared })
+        open.map(move |(a, attempt)| Unwritten {
+            request,
+            attempt,
+            attempt_id: a.attempt_id,
+            cleared: a.cleared,
+        })
     }
 }
 
@@ -125,10 +130,10 @@
     /// Transactions by their payload's id and by their user agent.
     by_id: HashMap<String, RequestId>,
     by_agent: HashMap<AgentId, RequestId>,
-    /// Attempts by their proxy pass.
-    passes: HashMap<PassId, (RequestId, u16)>,
+    /// Attempts by their attempt.
+    by_attempt: HashMap<AttemptId, (RequestId, u16)>,
     next_request: RequestId,
-    next_pass: PassId,
+    next_attempt: AttemptId,
     /// What the dispatcher is still to be told; it is never called from within its own actions.
     events: VecDeque<Event>,
     /// Transactions that may be over.
@@ -196,9 +201,9 @@
             transactions: BTreeMap::new(),
             by_id: HashMap::new(),
             by_agent: HashMap::new(),
-            passes: HashMap::new(),
+            by_attempt: HashMap::new(),
             next_request: 1,
-            next_pass: 1,
+            next_attempt: 1,
             events: VecDeque::new(),
             touched: Vec::new(),
             keeping: None,
@@ -259,25 +264,25 @@
                     self.withdraw(now, unwritten, out);
                 }
             }
-            Input::Written(pass) => {
-                if let Some(a) = self.attempt(pass) {
+            Input::Written(attempt_id) => {
+                if let Some(a) = self.attempt(attempt_id) {
                     a.written = true;
                 }
             }
-            Input::Pass(pass, PassEnd::Accepted, _) => {
-                if let Some(a) = self.attempt(pass) {
+            Input::Attempt(attempt_id, AttemptEnd::Accepted, _) => {
+                if let Some(a) = self.attempt(attempt_id) {
                     (a.written, a.accepted) = (true, true);
                 }
             }
-            Input::Pass(pass, end, load) => {
-                let Some(&(request, attempt)) = self.passes.get(&pass) else { return };
-                let Some(a) = self.attempt(pass).filter(|a| !a.accepted) else { return };
+            Input::Attempt(attempt_id, end, load) => {
+                let Some(&(request, attempt)) = self.by_attempt.get(&attempt_id) else { return };
+                let Some(a) = self.attempt(attempt_id).filter(|a| !a.accepted) else { return };
                 let outcome = match end {
-                    PassEnd::NotRun => Outcome::Full,
-                    PassEnd::NoRoom => Outcome::Moot,
-                    PassEnd::NeverSent if !a.written => Outcome::ConnectFailed,
-                    PassEnd::NeverSent | PassEnd::Reset => Outcome::Reset,
-                    PassEnd::Accepted | PassEnd::Error => Outcome::Error,
+                    AttemptEnd::NotRun => Outcome::Full,
+                    AttemptEnd::NoRoom => Outcome::Moot,
+                    AttemptEnd::NeverSent if !a.written => Outcome::ConnectFailed,
+                    AttemptEnd::NeverSent | AttemptEnd::Reset => Outcome::Reset,
+                    AttemptEnd::Accepted | AttemptEnd::Error => Outcome::Error,
                 };
                 self.ended(now, (request, attempt), outcome, &load);
             }
@@ -344,7 +349,7 @@
                 self.abandon(request, attempt, out);
                 self.ended(now, (request, attempt), Outcome::Timeout, &Load::new());
             }
-            Input::Due(Due::Intent(pass)) => self.intent_stored(now, pass, false, out),
+            Input::Due(Due::Intent(attempt_id)) => self.intent_stored(now, attempt_id, false, out),
             Input::Due(Due::Joined(agent)) => {
                 // It may have run, and may run yet: no refusal would be true.
                 if self.unjoin(agent) {
@@ -431,7 +436,7 @@
         self.by_agent.remove(&agent);
         self.by_id.remove(&t.payload.id);
         for a in &t.attempts {
-            self.passes.remove(&a.pass);
+            self.by_attempt.remove(&a.attempt_id);
         }
         let attempt = |a: &Attempt| MovedAttempt {
             worker: self.names[a.worker].clone(),
@@ -473,13 +478,22 @@
         let mut attempts = Vec::new();
         for (a, number) in moved.attempts.iter().zip(0u16..) {
             let worker = self.number(&a.worker);
-            let (pass, sent, until) = (self.next_pass, a.sent + shift, a.until + shift);
-            self.next_pass += 1;
+            let (attempt_id, sent, until) = (self.next_attempt, a.sent + shift, a.until + shift);
+            self.next_attempt += 1;
             moved.carried.workers[number as usize] = worker_id(worker);
             let (cleared, written, ended) = (true, a.written, a.ended);
-            attempts.push(Attempt { worker, pass, sent, until, cleared, written, accepted: written, ended });
+            attempts.push(Attempt {
+                worker,
+                attempt_id,
+                sent,
+                until,
+                cleared,
+                written,
+                accepted: written,
+                ended,
+            });
             if !ended {
-                self.passes.insert(pass, (request, number));
+                self.by_attempt.insert(attempt_id, (request, number));
                 out.push(Command::Timer(until, Due::Attempt(request, number)));
             }
         }
@@ -632,9 +646,9 @@
     /// Takes attempts back whose last byte has not been written. This gives up nothing that runs, so that it needs no leave
     /// to cancel.
     fn withdraw(&mut self, now: f64, attempts: Vec<Unwritten>, out: &mut Vec<Command>) {
-        for Unwritten { request, attempt, pass, cleared } in attempts {
+        for Unwritten { request, attempt, attempt_id, cleared } in attempts {
             if cleared {
-                out.push(Command::Withdraw(pass));
+                out.push(Command::Withdraw(attempt_id));
             } else {
                 self.ended(now, (request, attempt), Outcome::Moot, &Load::new());
             }
@@ -751,7 +765,7 @@
 
     fn stored(&mut self, now: f64, wait: Wait, durable: bool, out: &mut Vec<Command>) {
         let id = match wait {
-            Wait::Pass(pass) => return self.intent_stored(now, pass, durable, out),
+            Wait::Attempt(attempt_id) => return self.intent_stored(now, attempt_id, durable, out),
             Wait::Call(agent, id) => {
                 out.push(Command::Acknowledge(agent, true));
                 id
@@ -763,15 +777,15 @@
         }
     }
 
-    /// The intent of a pass is durable, and the pass starts; or it never will be, and the job is refused.
-    fn intent_stored(&mut self, now: f64, pass: PassId, durable: bool, out: &mut Vec<Command>) {
-        let Some(&key @ (request, _)) = self.passes.get(&pass) else { return };
-        let Some(a) = self.attempt(pass).filter(|a| !a.cleared) else { return };
+    /// The intent of an attempt is durable, and the attempt starts; or it never will be, and the job is refused.
+    fn intent_stored(&mut self, now: f64, attempt_id: AttemptId, durable: bool, out: &mut Vec<Command>) {
+        let Some(&key @ (request, _)) = self.by_attempt.get(&attempt_id) else { return };
+        let Some(a) = self.attempt(attempt_id).filter(|a| !a.cleared) else { return };
         if durable {
             a.cleared = true;
             let (worker, wait) = (a.worker, a.until - now);
             let (Some(t), address) = (self.transactions.get(&request), self.workers[worker]) else { return };
-            return out.push(Command::Start(pass, address, t.payload.clone(), wait));
+            return out.push(Command::Start(attempt_id, address, t.payload.clone(), wait));
         }
         // Nothing of this attempt was sent. What was promised to be kept can't be: the answer comes at once.
         let before = self.transactions.get(&request).is_some_and(|t| t.may_have_run);
@@ -844,9 +858,9 @@
         self.events.push_back(Event::Request(new));
     }
 
-    /// The attempt of a proxy pass that has not ended.
-    fn attempt(&mut self, pass: PassId) -> Option<&mut Attempt> {
-        let &(request, attempt) = self.passes.get(&pass)?;
+    /// The attempt of an attempt that has not ended.
+    fn attempt(&mut self, attempt_id: AttemptId) -> Option<&mut Attempt> {
+        let &(request, attempt) = self.by_attempt.get(&attempt_id)?;
         self.transactions.get_mut(&request)?.attempts.get_mut(attempt as usize).filter(|a| !a.ended)
     }
 
@@ -962,7 +976,7 @@
         if self.linked {
             self.tales.push(Tale::Ended { id: t.payload.id.clone(), attempt });
         }
-        self.passes.remove(&a.pass);
+        self.by_attempt.remove(&a.attempt_id);
         let report = self.report(load);
         let event = Event::Outcome { request, attempt, worker, outcome, elapsed, closed, report };
         self.events.push_back(event);
@@ -1063,15 +1077,15 @@
             return;
         };
         let attempt = t.attempts.len() as u16;
-        let pass = self.next_pass;
-        self.next_pass += 1;
+        let attempt_id = self.next_attempt;
+        self.next_attempt += 1;
         let (written, accepted, ended) = (false, false, false);
         let left = t.deadline - now;
         let wait = if timeout > 0.0 { timeout.min(left) } else { left };
         let (until, cleared) = (now + wait, t.care != Care::Durable);
-        let new = Attempt { worker: number, pass, sent: now, until, cleared, written, accepted, ended };
+        let new = Attempt { worker: number, attempt_id, sent: now, until, cleared, written, accepted, ended };
         t.attempts.push(new);
-        self.passes.insert(pass, (request, attempt));
+        self.by_attempt.insert(attempt_id, (request, attempt));
         if self.linked {
             let t = &self.transactions[&request];
             self.tales.push(self.sent(now, t, &t.attempts[attempt as usize], attempt, true));
@@ -1086,14 +1100,14 @@
         if let (Some(keeping), Some(asker)) = (&mut self.keeping, &t.asker) {
             let writes = keeping.ledger.intend(now, &asker.asked(), &self.names[number], t.deadline);
             let id = &t.payload.id;
-            let wait = if cleared { Wait::Nobody(id.clone()) } else { Wait::Pass(pass) };
+            let wait = if cleared { Wait::Nobody(id.clone()) } else { Wait::Attempt(attempt_id) };
             self.writes.push((writes, wait));
             if !cleared {
-                out.push(Command::Timer(now + keeping.patience, Due::Intent(pass)));
+                out.push(Command::Timer(now + keeping.patience, Due::Intent(attempt_id)));
                 return;
             }
         }
-        out.push(Command::Start(pass, *address, t.payload.clone(), wait));
+        out.push(Command::Start(attempt_id, *address, t.payload.clone(), wait));
     }
 
     /// Gives an attempt up towards its worker, if it has not ended.
@@ -1101,10 +1115,10 @@
         let Some(t) = self.transactions.get(&request) else { return };
         if let Some(a) = t.attempts.get(attempt as usize).filter(|a| !a.ended) {
             if !a.cleared {
-                return; // its pass was never started
+                return; // its attempt was never started
             }
             let address = self.workers[a.worker];
-            out.push(Command::Abandon(a.pass, address, t.payload.clone(), a.accepted));
+            out.push(Command::Abandon(a.attempt_id, address, t.payload.clone(), a.accepted));
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,7 @@
 //! The real node: sockets, timers and HTTP round the decision module.
 //!
 //! [`Node`] runs one loop. User agents' requests become transactions in the hub ([`hub::transaction`]), which
-//! asks the [`crate::Dispatcher`] and has proxy passes started; news of the list come from a watch.
+//! asks the [`crate::Dispatcher`] and has attempts started; news of the list come from a watch.
 //!
 //! A node runs in the thread that calls it, until a byte comes on the stream that it was given:
 //!
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -2,8 +2,8 @@
 
 use super::config::Config;
 use crate::interface::ListKind;
+use crate::net::back::attempts::Attempts;
 use crate::net::back::keeper::{Found, Keeper};
-use crate::net::back::proxy_pass::ProxyPasses;
 use crate::net::back::worker_list::WorkerList;
 use crate::net::front::management::{self, Call, Door};
 use crate::net::front::user_agent::{self, UserAgents};
@@ -123,7 +123,7 @@
     reactor: Reactor,
     hub: Hub,
     agents: UserAgents,
-    passes: ProxyPasses,
+    attempts: Attempts,
     list: WorkerList,
     keeper: Option<Keeper>,
     door: Option<Door>,
@@ -145,7 +145,7 @@
     longest: f64,
     /// Operators' calls that came before an older process had told all.
     early: Vec<(usize, Call)>,
-    /// An audit is kept; and the passes started since the list's version changed.
+    /// An audit is kept; and the attempts started since the list's version changed.
     audits: bool,
     acts: u64,
 }
@@ -194,10 +194,10 @@
         let streams = config.fleet.as_ref().map_or(0, |_| wires::SOCKETS);
         let spare = SPARE + door.as_ref().map_or(0, |_| management::MOST) + streams;
         let room = Room { sockets: config.sockets, kept: spare, memory, open: settings.max_open };
-        let (most, passes, open) = room.of(config.sockets.saturating_sub(spare));
+        let (most, attempts, open) = room.of(config.sockets.saturating_sub(spare));
         settings.max_open = open;
         let agents = UserAgents::new(&mut reactor, listener, settings.clone(), most)?;
-        let passes = ProxyPasses::new(passes, settings.dial_timeout, settings.conn_idle);
+        let attempts = Attempts::new(attempts, settings.dial_timeout, settings.conn_idle);
         // A list without a worker is none: as one that is held it would keep the node waiting for its turn.
         let revision = known.as_ref().map(|list| list.revision);
         let members = known.clone().map(|list| list.members(&settings)).unwrap_or_default();
@@ -245,7 +245,7 @@
             reactor,
             hub,
             agents,
-            passes,
+            attempts,
             list,
             keeper,
             door,
@@ -351,7 +351,7 @@
                 self.told_by_fleet(events.unwrap_or_default());
             }
             Owner::Agent => self.agents.ready(reactor, key, readable, writable),
-            Owner::Pass => self.passes.ready(reactor, key, readable, writable),
+            Owner::Attempt => self.attempts.ready(reactor, key, readable, writable),
             Owner::Discovery => self.list.ready(reactor, key, readable, writable),
             Owner::Store => {
                 let written = self.keeper.as_mut().and_then(|keeper| keeper.ready(reactor));
@@ -395,8 +395,8 @@
             }
             Due::Agent(key, round) => self.agents.due(reactor, key, round),
             Due::Accept => self.agents.accept_due(reactor),
-            Due::Pass(key, round) => self.passes.pass_due(reactor, key, round),
-            Due::Dial(key) => self.passes.dial_due(reactor, key),
+            Due::Attempt(key, round) => self.attempts.attempt_due(reactor, key, round),
+            Due::Dial(key) => self.attempts.dial_due(reactor, key),
             Due::Discovery => self.list.due(reactor),
             Due::DiscoveryDial(call) => self.list.dial_due(reactor, call),
             Due::ListKept => {
@@ -724,7 +724,7 @@
         let Some(handover) = &mut self.handover else { return };
         let others: usize = self.links.holds.values().sum();
         let left = self.room.sockets.saturating_sub(self.room.kept + others);
-        let held = self.agents.count() + self.passes.count();
+        let held = self.agents.count() + self.attempts.count();
         let leaves = self.life.stage() == Stage::HandingOver;
         let replaced = handover.replaced();
         let share = match self.links.said {
@@ -744,9 +744,9 @@
             // Danger: with less room, a job that still comes on a connection of its would fail for want of it.
             return;
         }
-        let (agents, passes, open) = self.room.of(share);
+        let (agents, attempts, open) = self.room.of(share);
         self.agents.limit(agents);
-        self.passes.limit(passes);
+        self.attempts.limit(attempts);
         self.hub.limit(open);
     }
 
@@ -922,15 +922,15 @@
             for command in commands.drain(..) {
                 let reactor = &mut self.reactor;
                 match command {
-                    Command::Start(pass, worker, payload, wait) => {
+                    Command::Start(attempt, worker, payload, wait) => {
                         self.acts += 1;
-                        self.passes.start(reactor, pass, worker, &payload, wait);
+                        self.attempts.start(reactor, attempt, worker, &payload, wait);
                     }
-                    Command::Abandon(pass, worker, payload, accepted) => {
-                        self.passes.abandon(reactor, pass, worker, &payload.id, accepted);
+                    Command::Abandon(attempt, worker, payload, accepted) => {
+                        self.attempts.abandon(reactor, attempt, worker, &payload.id, accepted);
                     }
-                    Command::Withdraw(pass) => self.passes.withdraw(reactor, pass),
-                    Command::Forget(worker) => self.passes.forget(reactor, worker),
+                    Command::Withdraw(attempt) => self.attempts.withdraw(reactor, attempt),
+                    Command::Forget(worker) => self.attempts.forget(reactor, worker),
                     Command::Operator(key, reply) => self.operator(key, reply),
                     Command::Answer(agent, answer) => self.agents.answer(reactor, agent, &answer),
                     Command::Acknowledge(agent, known) => self.acknowledge(agent, known),
--- a/src/net/words.rs
+++ b/src/net/words.rs
@@ -8,8 +8,8 @@
 
 /// The user agent's side of a transaction, as its own module numbers it.
 pub type AgentId = u64;
-/// A proxy pass; the hub numbers them.
-pub type PassId = u64;
+/// An attempt; the hub numbers them.
+pub type AttemptId = u64;
 
 /// What passes through unchanged.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -52,9 +52,9 @@
 /// Figures of a load report by their names on the sockets.
 pub type Load = Vec<(String, f64)>;
 
-/// How a proxy pass ended, as far as its connection or its worker's answer tells.
+/// How an attempt ended, as far as its connection or its worker's answer tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PassEnd {
+pub enum AttemptEnd {
     /// The worker has taken the job; its call-back decides.
     Accepted,
     /// An error answer.
@@ -119,10 +119,10 @@
     Arrived(AgentId, Submission),
     /// Its user agent has gone away.
     Left(AgentId),
-    /// The last byte of a proxy pass has been written.
-    Written(PassId),
-    /// News of a proxy pass.
-    Pass(PassId, PassEnd, Load),
+    /// The last byte of an attempt has been written.
+    Written(AttemptId),
+    /// News of an attempt.
+    Attempt(AttemptId, AttemptEnd, Load),
     /// A worker's call-back, and who waits for its acknowledgement.
     Call(AgentId, JobCall),
     /// What was to be written is durable, or will never be.
@@ -159,7 +159,7 @@
     /// An attempt's time is up.
     Attempt(RequestId, u16),
     /// The time is up in which an intent should have become durable.
-    Intent(PassId),
+    Intent(AttemptId),
     /// One who waits for another's transaction has waited long enough.
     Joined(AgentId),
     /// Look for what has expired.
@@ -169,8 +169,8 @@
 /// What waits for a write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Wait {
-    /// A proxy pass, to start.
-    Pass(PassId),
+    /// An attempt, to start.
+    Attempt(AttemptId),
     /// A worker, for the acknowledgement of its call-back on the job of this id.
     Call(AgentId, String),
     /// Nobody; the job's id.
@@ -205,12 +205,12 @@
 /// What the hub wants done.
 #[derive(Debug)]
 pub enum Command {
-    /// Start a proxy pass, which may take so many seconds.
-    Start(PassId, std::net::SocketAddr, Rc<Payload>, f64),
-    /// Give a proxy pass up; the worker has taken its job, or not yet.
-    Abandon(PassId, std::net::SocketAddr, Rc<Payload>, bool),
-    /// Give a proxy pass back if its last byte is not written.
-    Withdraw(PassId),
+    /// Start an attempt, which may take so many seconds.
+    Start(AttemptId, std::net::SocketAddr, Rc<Payload>, f64),
+    /// Give an attempt up; the worker has taken its job, or not yet.
+    Abandon(AttemptId, std::net::SocketAddr, Rc<Payload>, bool),
+    /// Give an attempt back if its last byte is not written.
+    Withdraw(AttemptId),
     /// Let the idle connections to a worker go.
     Forget(std::net::SocketAddr),
     /// Answer a caller at the operators' door.
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -3,9 +3,9 @@
 mod bed;
 
 use bed::{ACCEPTED, Peer, port};
-use postproxy::net::back::proxy_pass::ProxyPasses;
+use postproxy::net::back::attempts::Attempts;
 use postproxy::net::ground::reactor::Reactor;
-use postproxy::net::words::{Input, PassEnd, PassId, Payload};
+use postproxy::net::words::{AttemptEnd, AttemptId, Input, Payload};
 use std::io::Write as _;
 use std::net::TcpListener;
 
@@ -13,7 +13,7 @@
 
 struct World {
     reactor: Reactor,
-    passes: ProxyPasses,
+    attempts: Attempts,
     worker: TcpListener,
 }
 
@@ -25,13 +25,13 @@
     /// With so many connections at most, to workers that close what has been idle for so long.
     fn with(most: usize, idle: f64) -> Self {
         let reactor = Reactor::new(1000.0).expect("a reactor");
-        Self { reactor, passes: ProxyPasses::new(most, 0.25, idle), worker: port() }
+        Self { reactor, attempts: Attempts::new(most, 0.25, idle), worker: port() }
     }
 
-    /// Starts passes at one time, each of which a worker takes on a connection of its own; these are idle then.
-    fn taken(&mut self, passes: &[PassId]) -> Vec<Peer> {
-        passes.iter().for_each(|pass| self.start(*pass));
-        let mut peers: Vec<Peer> = passes.iter().map(|_| Peer::accept(&self.worker)).collect();
+    /// Starts attempts at one time, each of which a worker takes on a connection of its own; these are idle then.
+    fn taken(&mut self, attempts: &[AttemptId]) -> Vec<Peer> {
+        attempts.iter().for_each(|attempt| self.start(*attempt));
+        let mut peers: Vec<Peer> = attempts.iter().map(|_| Peer::accept(&self.worker)).collect();
         for peer in &mut peers {
             // It is written once the connection is known to be made.
             peer.stream.set_nonblocking(true).expect("a setting");
@@ -39,26 +39,26 @@
             peer.stream.set_nonblocking(false).expect("a setting");
             peer.request();
             peer.write(ACCEPTED);
-            assert_eq!(self.end().1, PassEnd::Accepted);
+            assert_eq!(self.end().1, AttemptEnd::Accepted);
         }
         peers
     }
 
-    /// Starts a pass at this time; whether it goes out on a connection of its own.
-    fn dials(&mut self, at: f64, pass: PassId) -> bool {
+    /// Starts an attempt at this time; whether it goes out on a connection of its own.
+    fn dials(&mut self, at: f64, attempt: AttemptId) -> bool {
         self.reactor.now = at;
         self.worker.set_nonblocking(true).expect("a setting");
-        self.start(pass);
+        self.start(attempt);
         let came = self.worker.accept().is_ok();
         self.worker.set_nonblocking(false).expect("a setting");
         came
     }
 
-    fn start(&mut self, pass: PassId) {
+    fn start(&mut self, attempt: AttemptId) {
         let at = self.worker.local_addr().expect("an address");
-        let (id, method, target) = (format!("job-{pass}"), "POST".to_owned(), "/render".to_owned());
+        let (id, method, target) = (format!("job-{attempt}"), "POST".to_owned(), "/render".to_owned());
         let payload = Payload { id, method, target, ..Payload::default() };
-        self.passes.start(&mut self.reactor, pass, at, &payload, 5.0);
+        self.attempts.start(&mut self.reactor, attempt, at, &payload, 5.0);
     }
 
     /// Lets sockets be read until this is found.
@@ -70,43 +70,43 @@
             }
             self.reactor.wait(&mut events, f64::MAX).expect("a poller");
             for event in &events {
-                self.passes.ready(&mut self.reactor, event.key, event.readable, event.writable);
+                self.attempts.ready(&mut self.reactor, event.key, event.readable, event.writable);
             }
         }
     }
 
-    /// The first end of a pass that the hub is told of.
-    fn end(&mut self) -> (PassId, PassEnd) {
+    /// The first end of an attempt that the hub is told of.
+    fn end(&mut self) -> (AttemptId, AttemptEnd) {
         self.until(|world| {
             std::iter::from_fn(|| world.reactor.queue.pop_front()).find_map(|input| match input {
-                Input::Pass(pass, end, _) => Some((pass, end)),
+                Input::Attempt(attempt, end, _) => Some((attempt, end)),
                 _ => None,
             })
         })
     }
 }
 
-/// Guards against a worker's second answer, some milliseconds after its first, that is taken for the next pass's: a second 'not
+/// Guards against a worker's second answer, some milliseconds after its first, that is taken for the next attempt's: a second 'not
 /// run' would have a job that runs sent elsewhere, too.
 #[test]
-fn a_second_answer_is_not_the_next_passs() {
+fn a_second_answer_is_not_the_next_attempts() {
     let mut world = World::new();
     world.start(1);
     let mut first = Peer::accept(&world.worker);
     first.write(NOT_RUN);
-    assert_eq!(world.end(), (1, PassEnd::NotRun));
+    assert_eq!(world.end(), (1, AttemptEnd::NotRun));
     world.reactor.now = 1000.01;
     world.start(2);
-    // It comes when the next pass has been written, wherever that is.
+    // It comes when the next attempt has been written, wherever that is.
     first.write(NOT_RUN);
     let mut second = Peer::accept(&world.worker);
-    world.until(|world| (world.passes.count() == 1).then_some(()));
+    world.until(|world| (world.attempts.count() == 1).then_some(()));
     second.write(ACCEPTED);
-    assert_eq!(world.end(), (2, PassEnd::Accepted));
+    assert_eq!(world.end(), (2, AttemptEnd::Accepted));
     assert!(first.request().body.is_empty() && first.ended(), "one request came there, and no other");
 }
 
-/// Guards against a handshake for each pass to a worker that turns some away: a connection that has rested is used again; and
+/// Guards against a handshake for each attempt to a worker that turns some away: a connection that has rested is used again; and
 /// one on which a job was taken, at once.
 #[test]
 fn a_connection_that_has_rested_is_used_again() {
@@ -114,14 +114,14 @@
     world.start(1);
     let mut peer = Peer::accept(&world.worker);
     peer.write(NOT_RUN);
-    assert_eq!(world.end(), (1, PassEnd::NotRun));
+    assert_eq!(world.end(), (1, AttemptEnd::NotRun));
     world.reactor.now = 1000.06;
-    for pass in [2, 3] {
-        world.start(pass);
+    for attempt in [2, 3] {
+        world.start(attempt);
         peer.write(ACCEPTED);
-        assert_eq!(world.end(), (pass, PassEnd::Accepted));
+        assert_eq!(world.end(), (attempt, AttemptEnd::Accepted));
     }
-    assert_eq!(world.passes.count(), 1);
+    assert_eq!(world.attempts.count(), 1);
 }
 
 /// Guards against an answer of a worker that can't be read and is taken for one, or is read for ever: the attempt ends once, as one
@@ -168,12 +168,12 @@
                 .and_then(|()| peer.stream.write_all(more.as_bytes()));
             sent.is_err() || peer.ended()
         });
-        let (pass, end) = world.end();
-        assert_eq!(pass, 1, "{what}");
-        assert!(matches!(end, PassEnd::Error | PassEnd::Reset), "{what}: {end:?}");
-        world.until(|world| (world.passes.count() == 0).then_some(()));
+        let (attempt, end) = world.end();
+        assert_eq!(attempt, 1, "{what}");
+        assert!(matches!(end, AttemptEnd::Error | AttemptEnd::Reset), "{what}: {end:?}");
+        world.until(|world| (world.attempts.count() == 0).then_some(()));
         assert!(worker.join().expect("the worker's part"), "{what}: its connection goes on");
-        let again = world.reactor.queue.iter().any(|input| matches!(input, Input::Pass(..)));
+        let again = world.reactor.queue.iter().any(|input| matches!(input, Input::Attempt(..)));
         assert!(!again, "{what}: a second end");
     }
 }
@@ -187,7 +187,7 @@
     peer.write("HTTP/1.1 202 Accepted\r\nX-Load: TEXT inflight=7, queue=2, util=0.61, x0=what\r\nContent-Length: 0\r\n\r\n");
     let load = world.until(|world| {
         std::iter::from_fn(|| world.reactor.queue.pop_front()).find_map(|input| match input {
-            Input::Pass(1, PassEnd::Accepted, load) => Some(load),
+            Input::Attempt(1, AttemptEnd::Accepted, load) => Some(load),
             _ => None,
         })
     });
@@ -203,9 +203,9 @@
     let mut peers = world.taken(&[1, 2]);
     assert!(!world.dials(1000.8, 3), "an idle one is used again");
     drop(peers.pop()); // the one that was used last; its request is unread, so that it is reset
-    assert_eq!(world.end(), (3, PassEnd::Reset));
+    assert_eq!(world.end(), (3, AttemptEnd::Reset));
     assert!(world.dials(1000.8, 4), "0.8 s are too long now: a new connection");
-    assert_eq!(world.passes.count(), 1, "and the other idle one is gone");
+    assert_eq!(world.attempts.count(), 1, "and the other idle one is gone");
     // Half of that is learned, and it doubles every 5 s, up to what would count without it: 48 s.
     for (after, may, may_not) in [(0.0, 0.39, 0.5), (5.0, 0.79, 1.0), (100.0, 47.0, 48.5)] {
         for (rests, dials) in [(may, false), (may_not, true)] {
@@ -213,7 +213,7 @@
             let mut peers = world.taken(&[1, 2]);
             assert!(!world.dials(1000.8, 3));
             drop(peers.pop());
-            assert_eq!(world.end(), (3, PassEnd::Reset));
+            assert_eq!(world.end(), (3, AttemptEnd::Reset));
             world.reactor.now = 1000.8 + after;
             let _peers = world.taken(&[5]);
             assert_eq!(world.dials(1000.8 + after + rests, 6), dials, "{after} s later, after {rests} s");
@@ -226,7 +226,7 @@
 fn without_a_place_for_a_connection_the_worker_is_not_to_blame() {
     let mut world = World::with(0, 5.0);
     world.start(7);
-    assert!(matches!(world.reactor.queue.pop_front(), Some(Input::Pass(7, PassEnd::NoRoom, _))));
+    assert!(matches!(world.reactor.queue.pop_front(), Some(Input::Attempt(7, AttemptEnd::NoRoom, _))));
 }
 
 /// Guards against writing to the idle connections of a worker that has left something without an answer: if it has vanished, a new
@@ -239,11 +239,11 @@
         !world.dials(1001.0, 3) && !world.dials(1001.0, 4),
         "a worker that answers keeps its connections"
     );
-    assert_eq!(world.passes.count(), 2);
+    assert_eq!(world.attempts.count(), 2);
     peers[0].write(ACCEPTED);
     world.end();
     assert!(world.dials(1001.3, 5), "a new connection");
-    assert_eq!(world.passes.count(), 2, "the idle one is gone");
+    assert_eq!(world.attempts.count(), 2, "the idle one is gone");
 }
 
 /// Guards against keeping a connection until its worker may be closing it.
--- a/tests/keeping.rs
+++ b/tests/keeping.rs
@@ -4,7 +4,8 @@
 use postproxy::net::hub::keeping::Keeping;
 use postproxy::net::hub::transaction::Hub;
 use postproxy::net::words::{
-    Answer, Command, Due, Input, JobCall, JobState, Load, Member, PassEnd, PassId, Payload, Submission, Wait,
+    Answer, AttemptEnd, AttemptId, Command, Due, Input, JobCall, JobState, Load, Member, Payload, Submission,
+    Wait,
 };
 use postproxy::{Entry, ListKind, Settings};
 use postproxy_ledger::{Ledger, Limits, Write, result_key};
@@ -121,14 +122,14 @@
         self.tell(Input::Arrived(agent, Submission { payload, class, ..Submission::default() }))
     }
 
-    /// Submits a job that must not run twice, and has its pass started, written and accepted; its worker.
-    fn accepted(&mut self, agent: u64, id: &str, key: Option<&str>) -> (PassId, String) {
+    /// Submits a job that must not run twice, and has its attempt started, written and accepted; its worker.
+    fn accepted(&mut self, agent: u64, id: &str, key: Option<&str>) -> (AttemptId, String) {
         assert!(self.submit(agent, id, key, COMMIT, "body").is_empty(), "it waits for its intent");
         let commands = self.sync(true);
-        let (pass, worker) = started(&commands).expect("a pass");
-        self.tell(Input::Written(pass));
-        self.tell(Input::Pass(pass, PassEnd::Accepted, Load::new()));
-        (pass, worker)
+        let (attempt, worker) = started(&commands).expect("an attempt");
+        self.tell(Input::Written(attempt));
+        self.tell(Input::Attempt(attempt, AttemptEnd::Accepted, Load::new()));
+        (attempt, worker)
     }
 
     fn call(&mut self, id: &str, from: &str, state: JobState) -> Vec<Command> {
@@ -136,9 +137,9 @@
     }
 }
 
-fn started(commands: &[Command]) -> Option<(PassId, String)> {
+fn started(commands: &[Command]) -> Option<(AttemptId, String)> {
     commands.iter().find_map(|command| match command {
-        Command::Start(pass, worker, ..) => Some((*pass, format!("s-{}", worker.port() - 9000))),
+        Command::Start(attempt, worker, ..) => Some((*attempt, format!("s-{}", worker.port() - 9000))),
         _ => None,
     })
 }
@@ -239,8 +240,8 @@
     let commands = bed.sync(true);
     let starts = commands.iter().filter(|c| matches!(c, Command::Start(..))).count();
     assert_eq!(starts, 1, "{commands:?}");
-    let (pass, worker) = started(&commands).expect("a pass");
-    bed.tell(Input::Pass(pass, PassEnd::Accepted, Load::new()));
+    let (attempt, worker) = started(&commands).expect("an attempt");
+    bed.tell(Input::Attempt(attempt, AttemptEnd::Accepted, Load::new()));
     let commands = bed.call("again", &worker, JobState::Done(b"x".to_vec()));
     assert_eq!(answers(&commands), [(3, served("x")), (2, served("x"))]);
 }
@@ -282,7 +283,7 @@
     assert!(started(&bed.sync(true)).is_some(), "nothing of it was ever sent");
 }
 
-/// Guards against a disk that hangs and takes a job's whole time with it; against a pass that starts when it
+/// Guards against a disk that hangs and takes a job's whole time with it; against an attempt that starts when it
 /// comes back, after the refusal.
 #[test]
 fn an_intent_that_hangs_is_refused_in_time() {
@@ -317,10 +318,10 @@
 #[test]
 fn after_an_attempt_that_may_have_run_it_fails() {
     let mut bed = Bed::new();
-    let (pass, worker) = bed.accepted(1, "job", Some("k"));
+    let (attempt, worker) = bed.accepted(1, "job", Some("k"));
     let commands = bed.call("job", &worker, JobState::Lost);
     assert_eq!(answers(&commands), [(1, Answer::Failed)]);
-    assert!(bed.tell(Input::Pass(pass, PassEnd::Reset, Load::new())).is_empty(), "late");
+    assert!(bed.tell(Input::Attempt(attempt, AttemptEnd::Reset, Load::new())).is_empty(), "late");
     bed.sync(true);
     assert_eq!(answers(&bed.submit(2, "again", Some("k"), COMMIT, "body")), [(2, Answer::Failed)]);
     let mut bed = bed.restart();
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -5,10 +5,10 @@
 
 use bed::{ACCEPTED, Bed, LIMIT, Peer, list, member, port};
 use postproxy::interface::Settings;
-use postproxy::net::back::proxy_pass::ProxyPasses;
+use postproxy::net::back::attempts::Attempts;
 use postproxy::net::front::user_agent::UserAgents;
 use postproxy::net::ground::reactor::{Due, Owner, Reactor, owner};
-use postproxy::net::words::{Input, PassEnd, Payload};
+use postproxy::net::words::{AttemptEnd, Input, Payload};
 use std::io::Write as _;
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
@@ -215,16 +215,16 @@
 fn a_dial_for_a_client_that_has_left_carries_nothing() {
     let mut reactor = Reactor::new(1000.0).expect("a reactor");
     let worker = port();
-    let mut passes = ProxyPasses::new(8, 0.25, 60.0);
+    let mut attempts = Attempts::new(8, 0.25, 60.0);
     let at = worker.local_addr().expect("an address");
-    passes.start(&mut reactor, 1, at, &Payload::default(), 5.0);
-    passes.withdraw(&mut reactor, 1);
+    attempts.start(&mut reactor, 1, at, &Payload::default(), 5.0);
+    attempts.withdraw(&mut reactor, 1);
     let mut dialled = Peer::accept(&worker);
     let mut events = Vec::new();
     reactor.wait(&mut events, f64::MAX).expect("a poller");
-    events.iter().for_each(|e| passes.ready(&mut reactor, e.key, e.readable, e.writable));
-    assert!(!dialled.more() && passes.count() == 0, "nothing was written");
-    assert!(matches!(reactor.queue.pop_front(), Some(Input::Pass(1, PassEnd::NoRoom, _))));
+    events.iter().for_each(|e| attempts.ready(&mut reactor, e.key, e.readable, e.writable));
+    assert!(!dialled.more() && attempts.count() == 0, "nothing was written");
+    assert!(matches!(reactor.queue.pop_front(), Some(Input::Attempt(1, AttemptEnd::NoRoom, _))));
     assert!(reactor.queue.is_empty());
 }
 
--- a/tests/transaction.rs
+++ b/tests/transaction.rs
@@ -3,7 +3,7 @@
 use postproxy::net::hub::transaction::Hub;
 use postproxy::net::words::Reply;
 use postproxy::net::words::{
-    Answer, Command, Due, Input, JobCall, JobState, Load, Member, PassEnd, PassId, Payload, Submission,
+    Answer, AttemptEnd, AttemptId, Command, Due, Input, JobCall, JobState, Load, Member, Payload, Submission,
 };
 use postproxy::{Entry, ListKind, Settings};
 
@@ -72,12 +72,12 @@
         self.tell(Input::Arrived(1, Submission { payload, class, ..Submission::default() }))
     }
 
-    /// Submits, and has the pass written and accepted; the pass and its worker's name.
-    fn accepted(&mut self, id: &str, class: u8) -> (PassId, String) {
-        let (pass, from) = start(&self.submit(id, class)).expect("a pass");
-        assert!(self.tell(Input::Written(pass)).is_empty());
-        assert!(self.tell(Input::Pass(pass, PassEnd::Accepted, Load::new())).is_empty());
-        (pass, from)
+    /// Submits, and has the attempt written and accepted; the attempt and its worker's name.
+    fn accepted(&mut self, id: &str, class: u8) -> (AttemptId, String) {
+        let (attempt, from) = start(&self.submit(id, class)).expect("an attempt");
+        assert!(self.tell(Input::Written(attempt)).is_empty());
+        assert!(self.tell(Input::Attempt(attempt, AttemptEnd::Accepted, Load::new())).is_empty());
+        (attempt, from)
     }
 
     fn call(&mut self, id: &str, from: &str, state: JobState) -> Vec<Command> {
@@ -85,9 +85,9 @@
     }
 }
 
-fn start(commands: &[Command]) -> Option<(PassId, String)> {
+fn start(commands: &[Command]) -> Option<(AttemptId, String)> {
     commands.iter().find_map(|c| match c {
-        Command::Start(pass, worker, ..) => Some((*pass, format!("s-{}", worker.port() - 9000))),
+        Command::Start(attempt, worker, ..) => Some((*attempt, format!("s-{}", worker.port() - 9000))),
         _ => None,
     })
 }
@@ -117,10 +117,10 @@
 #[test]
 fn a_call_may_come_before_the_202() {
     let mut bed = Bed::new(1);
-    let (pass, from) = start(&bed.submit("a", 0)).expect("a pass");
-    bed.tell(Input::Written(pass));
+    let (attempt, from) = start(&bed.submit("a", 0)).expect("an attempt");
+    bed.tell(Input::Written(attempt));
     assert_eq!(answers(&bed.call("a", &from, JobState::Done(b"r".into()))), [&Answer::Served(b"r".into())]);
-    assert!(bed.tell(Input::Pass(pass, PassEnd::Accepted, Load::new())).is_empty());
+    assert!(bed.tell(Input::Attempt(attempt, AttemptEnd::Accepted, Load::new())).is_empty());
     assert_eq!(bed.hub.held(), 0);
 }
 
@@ -131,9 +131,9 @@
     let (_, from) = bed.accepted("a", 0);
     let mut again = bed.call("a", &from, JobState::Returned);
     again.extend(bed.play(1001.0));
-    let (pass, _) = start(&again).expect("what never ran is sent again");
+    let (attempt, _) = start(&again).expect("what never ran is sent again");
     assert!(bed.call("a", &from, JobState::Returned).is_empty());
-    bed.tell(Input::Written(pass));
+    bed.tell(Input::Written(attempt));
     assert_eq!(answers(&bed.call("a", &from, JobState::Done(b"r".into()))).len(), 1);
 }
 
@@ -141,20 +141,20 @@
 #[test]
 fn only_what_never_ran_is_sent_again() {
     let cases = [
-        (PassEnd::NeverSent, false, true),
-        (PassEnd::NoRoom, false, true),
-        (PassEnd::NotRun, true, true),
-        (PassEnd::Reset, true, false),
-        (PassEnd::Error, true, false),
-        (PassEnd::NeverSent, true, false),
+        (AttemptEnd::NeverSent, false, true),
+        (AttemptEnd::NoRoom, false, true),
+        (AttemptEnd::NotRun, true, true),
+        (AttemptEnd::Reset, true, false),
+        (AttemptEnd::Error, true, false),
+        (AttemptEnd::NeverSent, true, false),
     ];
     for (end, written, again) in cases {
         let mut bed = Bed::new(3);
-        let (pass, _) = start(&bed.submit("a", 1)).expect("a pass");
+        let (attempt, _) = start(&bed.submit("a", 1)).expect("an attempt");
         if written {
-            bed.tell(Input::Written(pass));
+            bed.tell(Input::Written(attempt));
         }
-        let mut after = bed.tell(Input::Pass(pass, end, Load::new()));
+        let mut after = bed.tell(Input::Attempt(attempt, end, Load::new()));
         after.extend(bed.play(1006.0));
         assert_eq!(start(&after).is_some(), again, "{end:?}");
         assert_eq!(answers(&after), [&Answer::Failed], "{end:?}");
@@ -166,8 +166,8 @@
 #[test]
 fn a_shortage_here_is_not_held_against_the_worker() {
     let mut bed = Bed::new(2);
-    let (pass, blamed) = start(&bed.submit("a", 0)).expect("a pass");
-    bed.tell(Input::Pass(pass, PassEnd::NoRoom, Load::new()));
+    let (attempt, blamed) = start(&bed.submit("a", 0)).expect("an attempt");
+    bed.tell(Input::Attempt(attempt, AttemptEnd::NoRoom, Load::new()));
     let more: Vec<_> = (0..12).filter_map(|n| start(&bed.submit(&format!("b{n}"), 0))).collect();
     assert!(more.iter().any(|(_, worker)| *worker == blamed), "{more:?}");
 }
@@ -176,8 +176,8 @@
 #[test]
 fn after_the_202_a_broken_connection_decides_nothing() {
     let mut bed = Bed::new(2);
-    let (pass, from) = bed.accepted("a", 0);
-    assert!(bed.tell(Input::Pass(pass, PassEnd::Reset, Load::new())).is_empty());
+    let (attempt, from) = bed.accepted("a", 0);
+    assert!(bed.tell(Input::Attempt(attempt, AttemptEnd::Reset, Load::new())).is_empty());
     assert_eq!(answers(&bed.call("a", &from, JobState::Done(b"r".into()))).len(), 1);
 }
 
@@ -186,12 +186,12 @@
 fn a_user_agent_that_leaves_has_its_pass_given_up() {
     for taken in [false, true] {
         let mut bed = Bed::new(1);
-        let (pass, _) = start(&bed.submit("a", 0)).expect("a pass");
+        let (attempt, _) = start(&bed.submit("a", 0)).expect("an attempt");
         if taken {
-            bed.tell(Input::Pass(pass, PassEnd::Accepted, Load::new()));
+            bed.tell(Input::Attempt(attempt, AttemptEnd::Accepted, Load::new()));
         }
         let left = bed.tell(Input::Left(1));
-        assert!(matches!(left[..], [Command::Abandon(p, _, _, t)] if (p, t) == (pass, taken)), "{left:?}");
+        assert!(matches!(left[..], [Command::Abandon(p, _, _, t)] if (p, t) == (attempt, taken)), "{left:?}");
         assert_eq!(bed.hub.held(), 0);
         assert!(bed.play(1010.0).is_empty());
     }
@@ -269,9 +269,9 @@
     assert_eq!(reply(&employ(&mut bed, "s-9", false)), Some(Reply::Nobody));
     assert_eq!(reply(&employ(&mut bed, "s-9", true)), Some(Reply::Nobody));
     assert_eq!(reply(&employ(&mut bed, "s-1", true)), Some(Reply::Yes), "it was never out");
-    let (unsent, to) = start(&bed.submit("a", 1)).expect("a pass");
+    let (unsent, to) = start(&bed.submit("a", 1)).expect("an attempt");
     let (sent, _) = loop {
-        let (pass, from) = start(&bed.tell(Input::Arrived(
+        let (attempt, from) = start(&bed.tell(Input::Arrived(
             3,
             Submission {
                 payload: Payload { id: format!("b{}", bed.now), method: "POST".into(), ..Payload::default() },
@@ -279,22 +279,22 @@
                 ..Submission::default()
             },
         )))
-        .expect("a pass");
-        bed.tell(Input::Written(pass));
+        .expect("an attempt");
+        bed.tell(Input::Written(attempt));
         if from == to {
-            break (pass, from);
+            break (attempt, from);
         }
         bed.now += 0.01;
     };
     let out = employ(&mut bed, &to, false);
     assert_eq!(reply(&out), Some(Reply::Yes));
-    assert!(out.iter().any(|c| matches!(c, Command::Withdraw(pass) if *pass == unsent)));
-    assert!(!out.iter().any(|c| matches!(c, Command::Withdraw(pass) if *pass == sent)));
+    assert!(out.iter().any(|c| matches!(c, Command::Withdraw(attempt) if *attempt == unsent)));
+    assert!(!out.iter().any(|c| matches!(c, Command::Withdraw(attempt) if *attempt == sent)));
     assert!(out.iter().any(|c| matches!(c, Command::Forget(_))));
     assert_eq!(reply(&employ(&mut bed, &to, false)), Some(Reply::Yes), "twice is once");
     // What never ran goes elsewhere; also after a whole list that names the worker as ready.
     let (_, other) =
-        start(&bed.tell(Input::Pass(unsent, PassEnd::NoRoom, Load::new()))).expect("another pass");
+        start(&bed.tell(Input::Attempt(unsent, AttemptEnd::NoRoom, Load::new()))).expect("another attempt");
     assert_ne!(other, to);
     let member = |n: u16| Member {
         id: format!("s-{n}"),
@@ -303,7 +303,7 @@
     };
     bed.tell(Input::List(ListKind::Full, vec![member(0), member(1)]));
     for n in 0..20 {
-        let (_, from) = start(&bed.submit(&format!("c{n}"), 0)).expect("a pass");
+        let (_, from) = start(&bed.submit(&format!("c{n}"), 0)).expect("an attempt");
         assert_ne!(from, to);
     }
     assert_eq!(reply(&employ(&mut bed, &other, false)), Some(Reply::Yes));
@@ -313,7 +313,7 @@
         "all are out: {out:?}"
     );
     assert_eq!(reply(&employ(&mut bed, &to, true)), Some(Reply::Yes));
-    let (_, from) = start(&bed.submit("e", 0)).expect("a pass");
+    let (_, from) = start(&bed.submit("e", 0)).expect("an attempt");
     assert_eq!(from, to, "one call back undoes two out");
 }
 
@@ -325,15 +325,15 @@
         for class in [0, 1] {
             let settings = SETTINGS.replace("\"cancel\": true", &format!("\"cancel\": {cancel}"));
             let mut bed = Bed::with(2, &settings);
-            let (pass, _) = start(&bed.submit("a", class)).expect("a pass");
+            let (attempt, _) = start(&bed.submit("a", class)).expect("an attempt");
             let out = bed.tell(Input::Left(1));
             let back = |c: &Command| match c {
-                Command::Abandon(p, ..) => cancel == "true" && *p == pass,
-                Command::Withdraw(p) => cancel == "false" && *p == pass,
+                Command::Abandon(p, ..) => cancel == "true" && *p == attempt,
+                Command::Withdraw(p) => cancel == "false" && *p == attempt,
                 _ => false,
             };
             assert!(out.iter().any(back), "cancel {cancel}: {out:?}");
-            assert!(bed.tell(Input::Pass(pass, PassEnd::NoRoom, Load::new())).is_empty());
+            assert!(bed.tell(Input::Attempt(attempt, AttemptEnd::NoRoom, Load::new())).is_empty());
             assert!(start(&bed.play(1010.0)).is_none() && bed.hub.held() == 0, "cancel {cancel}");
             let (sent, from) = bed.accepted("b", class);
             let out = bed.tell(Input::Left(1));
@@ -358,10 +358,10 @@
     for written in [false, true] {
         for how in 0..3 {
             let mut bed = Bed::new(2);
-            let (pass, to) = start(&bed.submit("a", 1)).expect("a pass");
+            let (attempt, to) = start(&bed.submit("a", 1)).expect("an attempt");
             assert!(bed.tell(Input::List(ListKind::Delta, vec![])).is_empty(), "no change");
             if written {
-                bed.tell(Input::Written(pass));
+                bed.tell(Input::Written(attempt));
             }
             let stays = member(other(&to), Health::Ready);
             let out = bed.tell(match how {
@@ -369,10 +369,10 @@
                 1 => Input::List(ListKind::Full, vec![member(&to, Health::Draining), stays]),
                 _ => Input::List(ListKind::Full, vec![stays]),
             });
-            let back = out.iter().any(|c| matches!(c, Command::Withdraw(p) if *p == pass));
+            let back = out.iter().any(|c| matches!(c, Command::Withdraw(p) if *p == attempt));
             assert_eq!(back, !written, "{how}: {out:?}");
             if back {
-                let again = start(&bed.tell(Input::Pass(pass, PassEnd::NoRoom, Load::new())));
+                let again = start(&bed.tell(Input::Attempt(attempt, AttemptEnd::NoRoom, Load::new())));
                 assert_eq!(again.expect("another attempt").1, other(&to));
             }
         }
