Say what the schedule of calls resets in one place; give the watch's test jobs that end

Schedule::answered and ::moved reset the same three fields: `call_at` does. WorkerList::look is private.

Its jobs never ended, so that with own jobs counted where nothing is reported (its settings name no reports) all workers seemed full and too little was sent to be checked. Its jobs end now, as everywhere; both bounds stand as they were (more than 2,000 sends looked at, more than 20 of 40).

--- a/src/net/back/watch.rs
+++ b/src/net/back/watch.rs
@@ -141,10 +141,7 @@
     pub fn answered(&mut self, now: f64, id: CallId, news: bool) {
         let Some(&(_, since)) = self.out.iter().find(|(out, _)| *out == id) else { return };
         let at_once = !news && self.silent == 0 && now - since < AT_ONCE;
-        self.out.clear();
-        self.silent = 0;
-        self.backoff.reset();
-        self.due = Some(if at_once { now + REST } else { now });
+        self.call_at(if at_once { now + REST } else { now });
     }
 
     /// A call was refused or reset, or its answer was none. Another that is out still may be answered.
@@ -159,9 +156,14 @@
 
     /// Discovery is elsewhere now: it is called there at once, and no call to the old place counts.
     pub fn moved(&mut self, now: f64) {
+        self.call_at(now);
+    }
+
+    /// The next call is due then, and none that is out counts.
+    fn call_at(&mut self, at: f64) {
         self.out.clear();
         self.silent = 0;
         self.backoff.reset();
-        self.due = Some(now);
+        self.due = Some(at);
     }
 }
--- a/src/net/back/worker_list.rs
+++ b/src/net/back/worker_list.rs
@@ -248,7 +248,7 @@
     }
 
     /// Makes the calls that are due, and has itself woken for the next one.
-    pub fn look(&mut self, reactor: &mut Reactor) {
+    fn look(&mut self, reactor: &mut Reactor) {
         while let Some(call) = self.schedule.due(reactor.now, self.revision.is_some()) {
             self.make(reactor, call);
         }
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{sends, worker};
-use postproxy::interface::{Entry, Event, Health, ListKind, NewRequest, Settings};
+use postproxy::interface::{Entry, Event, Health, ListKind, NewRequest, Outcome, Settings};
 use postproxy::net::back::watch::{BESIDE, Call, Crowd, LATE, PATIENCE, Schedule, WAIT};
 use postproxy::policy::Dispatcher;
 use postproxy::random::Random;
@@ -143,7 +143,14 @@
                 }
                 checked += u64::from(leaving.is_some());
             }
+            let sent = sends(&actions);
             dispatcher.handle(now, &Event::ClientGone { request: tick + 1 }, &mut actions);
+            for (worker, attempt) in sent.into_iter().zip(0..) {
+                let (request, outcome, report) = (tick + 1, Outcome::Cancelled, Vec::new());
+                let ended =
+                    Event::Outcome { request, attempt, worker, outcome, elapsed: 0.0, closed: false, report };
+                dispatcher.handle(now, &ended, &mut actions);
+            }
         }
     }
     Ok(checked)
