--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -178,6 +178,43 @@
     }
 }
 
+/// Guards against a second attempt of what a worker may have run, or none of what it can't have: a pooled connection breaks under a
+/// request that is written whole, in part, or not at all, whether the worker resets it or ends it.
+#[test]
+fn a_request_that_was_not_written_whole_has_never_run() {
+    for (resets, whole) in [(true, true), (false, true), (true, false), (false, false)] {
+        let mut world = World::new();
+        // What is not read stays with the node: a worker takes little at a time, and a body is larger than all buffers between.
+        socket2::SockRef::from(&world.worker).set_recv_buffer_size(1 << 10).expect("a setting");
+        let peer = world.taken(&[1]).remove(0);
+        world.reactor.now = 1000.1;
+        let at = world.worker.local_addr().expect("an address");
+        let body = vec![b'x'; if whole { 10 } else { 16 << 20 }];
+        let payload = Payload {
+            id: "two".into(),
+            method: "POST".into(),
+            target: "/render".into(),
+            body,
+            ..Payload::default()
+        };
+        world.attempts.start(&mut world.reactor, 2, at, &payload, 5.0);
+        // Its first bytes are there.
+        peer.stream.set_nonblocking(true).expect("a setting");
+        world.until(|_| peer.stream.peek(&mut [0]).is_ok_and(|size| size > 0).then_some(()));
+        let written = world.reactor.queue.iter().any(|input| matches!(input, Input::Written(2)));
+        assert_eq!(written, whole);
+        if resets {
+            socket2::SockRef::from(&peer.stream)
+                .set_linger(Some(std::time::Duration::ZERO))
+                .expect("a setting");
+        }
+        drop(peer);
+        let expected = if whole { AttemptEnd::Reset } else { AttemptEnd::NeverSent };
+        assert_eq!(world.end(), (2, expected), "reset: {resets}, whole: {whole}");
+        assert_eq!(world.attempts.count(), 0);
+    }
+}
+
 /// Guards against a load report that is misread, or in which a broken figure becomes a 0.
 #[test]
 fn a_load_report_is_read_by_name() {
