Ask workers for their load on sockets where the settings allow probes

`Command::Probe` goes out as GET /-/load on the connections that attempts use (`Attempts::probe`); the report is the answer's body. What becomes of it is told like an attempt's end, and the hub tells the dispatcher (`Hub::probed`): a 503 or another status is an error, no answer within four times dial-timeout is silence, a shortage of this node's says nothing of the worker. Where the settings allow no probes none is made.

Tests: the answer's forms, silence, refusal, no room (tests/attempts.rs), the way through the hub (tests/transaction.rs); with the hub's part out, or a 503 taken for a report, they failed.

--- a/src/net/back/attempts.rs
+++ b/src/net/back/attempts.rs
@@ -29,10 +29,19 @@
     Idle,
     /// An attempt; whether its last byte was written.
     Attempt(AttemptId, bool),
+    /// A question for the load; whether its last byte was written.
+    Probe(AttemptId, bool),
     /// A cancel, or an attempt whose end no longer matters.
     Other,
 }
 
+impl Errand {
+    /// Whether an answer to it matters.
+    fn counts(self) -> bool {
+        matches!(self, Self::Attempt(..) | Self::Probe(..))
+    }
+}
+
 struct Errands {
     worker: SocketAddr,
     errand: Errand,
@@ -76,22 +85,31 @@
 
 impl Caller<'_> {
     fn written(&mut self, connection: &Connection<TcpStream>) {
-        if let Errand::Attempt(attempt, written @ false) = &mut self.errands.errand
-            && connection.flushed()
-            && !matches!(connection.state(), State::Dialing | State::Ended)
-        {
-            *written = true;
-            self.reactor.queue.push_back(Input::Written(*attempt));
+        let sent = connection.flushed() && !matches!(connection.state(), State::Dialing | State::Ended);
+        match &mut self.errands.errand {
+            Errand::Attempt(attempt, written @ false) if sent => {
+                *written = true;
+                self.reactor.queue.push_back(Input::Written(*attempt));
+            }
+            Errand::Probe(_, written) => *written |= sent,
+            _ => {}
         }
     }
 
     fn over(&mut self, end: AttemptEnd, load: Load) {
-        if let Errand::Attempt(attempt, _) = std::mem::replace(&mut self.errands.errand, Errand::Other) {
+        let errand = std::mem::replace(&mut self.errands.errand, Errand::Other);
+        if let Errand::Attempt(attempt, _) | Errand::Probe(attempt, _) = errand {
             self.reactor.queue.push_back(Input::Attempt(attempt, end, load));
         }
     }
 
     fn answered(&mut self, response: &Response, early: bool) {
+        if let Errand::Probe(..) = self.errands.errand {
+            // Its answer brings the report as its body; a 503 says that it is not well.
+            let body = std::str::from_utf8(&response.body).map(load_header).unwrap_or_default();
+            let end = if response.status == 200 { AttemptEnd::Accepted } else { AttemptEnd::Error };
+            return self.over(end, body);
+        }
         let not_run = response.headers.get("x-not-run") == Some("1");
         let end = match response.status {
             202 if early => AttemptEnd::NeverSent, // the worker will never have it whole
@@ -108,7 +126,7 @@
         self.written(connection);
         let ended = connection.heard_all();
         // Bytes on an idle connection belong to nothing; an early answer, to a request not yet written, ends it.
-        let early = matches!(self.errands.errand, Errand::Attempt(_, false));
+        let early = matches!(self.errands.errand, Errand::Attempt(_, false) | Errand::Probe(_, false));
         match http::read_response(&connection.input, ended, http::MOST_BODY) {
             _ if self.errands.errand == Errand::Idle => connection.abort(),
             Ok(Read::Whole(response, size)) => {
@@ -116,7 +134,7 @@
                 connection.consume(size);
                 if response.keeps && !early && !ended && connection.input.is_empty() {
                     self.errands.errand = Errand::Idle;
-                    let rests = if response.status == 202 { 0.0 } else { AGAIN_AFTER };
+                    let rests = if matches!(response.status, 200 | 202) { 0.0 } else { AGAIN_AFTER };
                     self.errands.usable_from = self.reactor.now + rests;
                 } else {
                     connection.abort();
@@ -132,8 +150,8 @@
     }
 
     fn ended(&mut self, _: &mut Connection<TcpStream>) {
-        self.errands.broke |= matches!(self.errands.errand, Errand::Attempt(..));
-        let written = matches!(self.errands.errand, Errand::Attempt(_, true));
+        self.errands.broke |= self.errands.errand.counts();
+        let written = matches!(self.errands.errand, Errand::Attempt(_, true) | Errand::Probe(_, true));
         self.over(if written { AttemptEnd::Reset } else { AttemptEnd::NeverSent }, Load::new());
     }
 }
@@ -188,6 +206,14 @@
         self.carry(reactor, worker, Errand::Attempt(attempt, false), &bytes, wait + PATIENCE);
     }
 
+    /// Asks a worker for its load. The answer is waited for so many seconds: one that takes jobs and answers nothing shows there.
+    pub fn probe(&mut self, reactor: &mut Reactor, attempt: AttemptId, worker: SocketAddr, wait: f64) {
+        let host = worker.to_string();
+        let mut bytes = Vec::new();
+        http::write_request(&mut bytes, "GET", "/-/load", &[("Host", &host)], b"");
+        self.carry(reactor, worker, Errand::Probe(attempt, false), &bytes, wait);
+    }
+
     /// Gives an attempt up: tells its worker, or closes its connection where the worker has not answered.
     pub fn abandon(
         &mut self,
@@ -219,7 +245,7 @@
         let key = match self.pooled(reactor, worker).map_or_else(|| self.dial(reactor, worker), Ok) {
             Ok(key) => key,
             Err(end) => {
-                if let Errand::Attempt(attempt, _) = errand {
+                if let Errand::Attempt(attempt, _) | Errand::Probe(attempt, _) = errand {
                     reactor.queue.push_back(Input::Attempt(attempt, end, Load::new()));
                 }
                 return;
@@ -231,7 +257,7 @@
         session.errands.since = reactor.now;
         session.errands.round += 1;
         let round = session.errands.round;
-        if let Errand::Attempt(attempt, _) = errand {
+        if let Errand::Attempt(attempt, _) | Errand::Probe(attempt, _) = errand {
             session.errands.attempt = Some(attempt);
             self.by_attempt.insert(attempt, key);
         }
@@ -358,7 +384,7 @@
     /// Puts a connection back to where it belongs after something has happened on it.
     fn after(&mut self, reactor: &mut Reactor, key: usize) {
         let Some(session) = self.sessions.get_mut(&key) else { return };
-        if !matches!(session.errands.errand, Errand::Attempt(..)) {
+        if !session.errands.errand.counts() {
             session.errands.attempt.take().map(|attempt| self.by_attempt.remove(&attempt));
         }
         let at_once = reactor.now - session.errands.since <= self.dial_timeout;
--- a/src/net/hub/transaction.rs
+++ b/src/net/hub/transaction.rs
@@ -19,6 +19,8 @@
 
 /// How often it is looked for records that have expired, in seconds.
 const EXPIRY: f64 = 10.0;
+/// A worker is given so many times the time of a connection to tell its load; then it counts as silent.
+const PROBE_DIALS: f64 = 4.0;
 
 struct Attempt {
     worker: usize,
@@ -132,6 +134,8 @@
     by_agent: HashMap<AgentId, RequestId>,
     /// Attempts by their attempt.
     by_attempt: HashMap<AttemptId, (RequestId, u16)>,
+    /// Workers that have been asked for their load, and when.
+    probes: HashMap<AttemptId, (usize, f64)>,
     next_request: RequestId,
     next_attempt: AttemptId,
     /// What the dispatcher is still to be told; it is never called from within its own actions.
@@ -202,6 +206,7 @@
             by_id: HashMap::new(),
             by_agent: HashMap::new(),
             by_attempt: HashMap::new(),
+            probes: HashMap::new(),
             next_request: 1,
             next_attempt: 1,
             events: VecDeque::new(),
@@ -269,12 +274,15 @@
                     a.written = true;
                 }
             }
-            Input::Attempt(attempt_id, AttemptEnd::Accepted, _) => {
+            Input::Attempt(attempt_id, AttemptEnd::Accepted, _) if !self.probes.contains_key(&attempt_id) => {
                 if let Some(a) = self.attempt(attempt_id) {
                     (a.written, a.accepted) = (true, true);
                 }
             }
             Input::Attempt(attempt_id, end, load) => {
+                if let Some((worker, asked)) = self.probes.remove(&attempt_id) {
+                    return self.probed(worker, end, now - asked, &load);
+                }
                 let Some(&(request, attempt)) = self.by_attempt.get(&attempt_id) else { return };
                 let Some(a) = self.attempt(attempt_id).filter(|a| !a.accepted) else { return };
                 let outcome = match end {
@@ -983,6 +991,27 @@
         self.touched.push(request);
     }
 
+    /// Asks a worker for its load.
+    fn probe(&mut self, now: f64, worker: usize, out: &mut Vec<Command>) {
+        let attempt_id = self.next_attempt;
+        self.next_attempt += 1;
+        self.probes.insert(attempt_id, (worker, now));
+        out.push(Command::Probe(attempt_id, self.workers[worker], PROBE_DIALS * self.settings.dial_timeout));
+    }
+
+    /// What became of it. A shortage here says nothing of the worker.
+    fn probed(&mut self, worker: usize, end: AttemptEnd, elapsed: f64, load: &Load) {
+        let outcome = match end {
+            AttemptEnd::Accepted => Outcome::Ok,
+            AttemptEnd::NoRoom => Outcome::Moot,
+            AttemptEnd::NeverSent => Outcome::ConnectFailed,
+            AttemptEnd::Reset => Outcome::Timeout,
+            AttemptEnd::NotRun | AttemptEnd::Error => Outcome::Error,
+        };
+        let (worker, report) = (worker_id(worker), self.report(load));
+        self.events.push_back(Event::Probed { worker, outcome, elapsed, report });
+    }
+
     /// A load report in the settings' order; figures that are not there are no numbers, never 0.
     pub fn report(&self, load: &Load) -> Vec<f32> {
         let figure = |wanted: &String| {
@@ -1061,7 +1090,7 @@
             }
             Action::Fail { request } => self.finish(request, Answer::Failed, out),
             Action::Timer { at, token } => out.push(Command::Timer(at, Due::Dispatcher(token))),
-            Action::Probe { .. } => {} // no site of sockets permits one
+            Action::Probe { worker } => self.probe(now, number(worker), out),
         }
     }
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -929,6 +929,9 @@
                     Command::Abandon(attempt, worker, payload, accepted) => {
                         self.attempts.abandon(reactor, attempt, worker, &payload.id, accepted);
                     }
+                    Command::Probe(attempt, worker, wait) => {
+                        self.attempts.probe(reactor, attempt, worker, wait)
+                    }
                     Command::Withdraw(attempt) => self.attempts.withdraw(reactor, attempt),
                     Command::Forget(worker) => self.attempts.forget(reactor, worker),
                     Command::Operator(key, reply) => self.operator(key, reply),
--- a/src/net/words.rs
+++ b/src/net/words.rs
@@ -209,6 +209,8 @@
     Start(AttemptId, std::net::SocketAddr, Rc<Payload>, f64),
     /// Give an attempt up; the worker has taken its job, or not yet.
     Abandon(AttemptId, std::net::SocketAddr, Rc<Payload>, bool),
+    /// Ask a worker for its load, and wait for so many seconds; the answer is news of an attempt of this number.
+    Probe(AttemptId, std::net::SocketAddr, f64),
     /// Give an attempt back if its last byte is not written.
     Withdraw(AttemptId),
     /// Let the idle connections to a worker go.
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -4,7 +4,7 @@
 
 use bed::{ACCEPTED, Peer, port};
 use postproxy::net::back::attempts::Attempts;
-use postproxy::net::ground::reactor::Reactor;
+use postproxy::net::ground::reactor::{Due, Reactor};
 use postproxy::net::words::{AttemptEnd, AttemptId, Input, Payload};
 use std::io::Write as _;
 use std::net::TcpListener;
@@ -293,3 +293,82 @@
         assert!(world.dials(1000.001 + most, 2), "{idle} s");
     }
 }
+
+/// What the hub is told of the probe 1 on a connection on which a worker answers this, and its report.
+fn probed(world: &mut World, answer: Option<&str>) -> (AttemptEnd, Vec<(String, f64)>, Option<Peer>) {
+    let at = world.worker.local_addr().expect("an address");
+    world.attempts.probe(&mut world.reactor, 1, at, 0.4);
+    let mut peer = Peer::accept(&world.worker);
+    peer.stream.set_nonblocking(true).expect("a setting");
+    world.until(|_| peer.stream.peek(&mut [0]).is_ok_and(|size| size > 0).then_some(()));
+    peer.stream.set_nonblocking(false).expect("a setting");
+    let request = peer.request();
+    assert_eq!((request.method.as_str(), request.target.as_str()), ("GET", "/-/load"));
+    let peer = answer.map(|answer| {
+        peer.write(answer);
+        peer
+    });
+    let (end, load) = world.until(|world| {
+        std::iter::from_fn(|| world.reactor.queue.pop_front()).find_map(|input| match input {
+            Input::Attempt(1, end, load) => Some((end, load)),
+            Input::Written(_) => panic!("a probe is no attempt that has begun"),
+            _ => None,
+        })
+    });
+    (end, load, peer)
+}
+
+/// Guards against a probe whose report is lost or misread, against one that breaks, is spoilt, or is turned away and counts as a
+/// report, and against a handshake for each.
+#[test]
+fn a_probe_brings_the_load_or_what_became_of_it() {
+    let text = |status: &str, body: &str| {
+        format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let mut world = World::new();
+    let (end, load, _peer) = probed(&mut world, Some(&text("200 OK", "TEXT x0=3, inflight=2, queue=what\n")));
+    let names: Vec<_> = load.iter().map(|(name, value)| (name.as_str(), *value)).collect();
+    assert_eq!((end, names), (AttemptEnd::Accepted, vec![("x0", 3.0), ("inflight", 2.0)]));
+    assert!(!world.dials(1000.0, 2), "the connection is used again at once");
+    for (answer, end) in [
+        (Some(text("503 Busy", "TEXT x0=3")), AttemptEnd::Error),
+        (Some(text("404 Not Found", "")), AttemptEnd::Error),
+        (Some("no HTTP\r\n\r\n".into()), AttemptEnd::Reset),
+        (None, AttemptEnd::Reset),
+    ] {
+        let told = probed(&mut World::new(), answer.as_deref());
+        assert_eq!(told.0, end, "{answer:?}");
+    }
+}
+
+/// Guards against a worker that takes what it is sent and answers nothing: that shows when the probe's time is over, its late answer
+/// changes nothing, and a worker that can't be reached is told as such.
+#[test]
+fn a_probe_that_is_not_answered_in_time_is_over() {
+    let mut world = World::new();
+    let at = world.worker.local_addr().expect("an address");
+    world.attempts.probe(&mut world.reactor, 1, at, 0.4);
+    let mut peer = Peer::accept(&world.worker);
+    peer.stream.set_nonblocking(true).expect("a setting");
+    world.until(|_| peer.stream.peek(&mut [0]).is_ok_and(|size| size > 0).then_some(()));
+    peer.stream.set_nonblocking(false).expect("a setting");
+    for (now, ended) in [(1000.39, false), (1000.42, true)] {
+        world.reactor.now = now;
+        for due in world.reactor.due() {
+            if let Due::Attempt(key, round) = due {
+                world.attempts.attempt_due(&mut world.reactor, key, round);
+            }
+        }
+        assert_eq!(world.attempts.count() == 0, ended, "at {now}");
+    }
+    assert_eq!(world.end(), (1, AttemptEnd::Reset));
+    // Whatever it still says, nobody reads it.
+    let _ = peer.stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nTEXT x0=3");
+    drop(std::mem::replace(&mut world.worker, port()));
+    world.attempts.probe(&mut world.reactor, 2, at, 0.4);
+    assert_eq!(world.end(), (2, AttemptEnd::NeverSent));
+    assert!(world.reactor.queue.is_empty());
+    let mut world = World::with(0, 5.0);
+    world.attempts.probe(&mut world.reactor, 3, at, 0.4);
+    assert!(matches!(world.reactor.queue.pop_front(), Some(Input::Attempt(3, AttemptEnd::NoRoom, _))));
+}
--- a/tests/transaction.rs
+++ b/tests/transaction.rs
@@ -395,3 +395,45 @@
         assert_eq!(new.hub.held(), usize::from(goes_on));
     }
 }
+
+fn probes(commands: &[Command]) -> Vec<(AttemptId, String)> {
+    let probe = |c: &Command| match c {
+        Command::Probe(id, worker, _) => Some((*id, format!("s-{}", worker.port() - 9000))),
+        _ => None,
+    };
+    commands.iter().filter_map(probe).collect()
+}
+
+/// Guards against probes that the dispatcher asks for and nobody makes, or whose answers it never hears: where load comes by
+/// probes alone, a job goes to the worker that has told of room. And against probes where the settings allow none.
+#[test]
+fn workers_are_asked_for_their_load_where_that_is_allowed() {
+    assert!(probes(&Bed::new(3).submit("a", 0)).is_empty());
+    let settings = SETTINGS
+        .replace("\"via\": \"answers\"", "\"via\": \"probe\"")
+        .replace("\"cancel\": true", "\"cancel\": true, \"may-probe\": true");
+    for told in [Some(4.0), None] {
+        let mut bed = Bed::with(3, &settings);
+        let out = bed.submit("a", 0);
+        assert!(start(&out).is_none(), "it is asked first");
+        let asked = probes(&out);
+        assert!(!asked.is_empty());
+        let mut sent = None;
+        for (id, worker) in &asked {
+            let free = if *worker == asked[0].1 { told.unwrap_or(0.0) } else { 0.0 };
+            let load = vec![
+                ("x0".to_owned(), free),
+                ("backlog".to_owned(), 0.0),
+                ("outstanding".to_owned(), 4.0 - free),
+            ];
+            let end = if told.is_some() { AttemptEnd::Accepted } else { AttemptEnd::Reset };
+            sent = sent.or(start(&bed.tell(Input::Attempt(*id, end, load))));
+            assert!(bed.tell(Input::Attempt(*id, AttemptEnd::Accepted, Load::new())).is_empty(), "once");
+        }
+        match told {
+            Some(_) => assert_eq!(sent.map(|(_, worker)| worker), Some(asked[0].1.clone())),
+            // Nothing is known: the job is not lost for it.
+            None => assert!(sent.is_some() || start(&bed.play(1001.0)).is_some()),
+        }
+    }
+}
