--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -33,10 +33,7 @@
         attempts.iter().for_each(|attempt| self.start(*attempt));
         let mut peers: Vec<Peer> = attempts.iter().map(|_| Peer::accept(&self.worker)).collect();
         for peer in &mut peers {
-            // It is written once the connection is known to be made.
-            peer.stream.set_nonblocking(true).expect("a setting");
-            self.until(|_| peer.stream.peek(&mut [0]).is_ok_and(|size| size > 0).then_some(()));
-            peer.stream.set_nonblocking(false).expect("a setting");
+            self.reaches(peer);
             peer.request();
             peer.write(ACCEPTED);
             assert_eq!(self.end().1, AttemptEnd::Accepted);
@@ -75,6 +72,14 @@
         }
     }
 
+    /// Lets sockets be read and written until something has come to this peer: a request is written once its connection is known
+    /// to be made.
+    fn reaches(&mut self, peer: &Peer) {
+        peer.stream.set_nonblocking(true).expect("a setting");
+        self.until(|_| peer.stream.peek(&mut [0]).is_ok_and(|size| size > 0).then_some(()));
+        peer.stream.set_nonblocking(false).expect("a setting");
+    }
+
     /// The first end of an attempt that the hub is told of.
     fn end(&mut self) -> (AttemptId, AttemptEnd) {
         self.until(|world| {
@@ -198,9 +203,7 @@
             ..Payload::default()
         };
         world.attempts.start(&mut world.reactor, 2, at, &payload, 5.0);
-        // Its first bytes are there.
-        peer.stream.set_nonblocking(true).expect("a setting");
-        world.until(|_| peer.stream.peek(&mut [0]).is_ok_and(|size| size > 0).then_some(()));
+        world.reaches(&peer);
         let written = world.reactor.queue.iter().any(|input| matches!(input, Input::Written(2)));
         assert_eq!(written, whole);
         if resets {
@@ -299,9 +302,7 @@
     let at = world.worker.local_addr().expect("an address");
     world.attempts.probe(&mut world.reactor, 1, at, 0.4);
     let mut peer = Peer::accept(&world.worker);
-    peer.stream.set_nonblocking(true).expect("a setting");
-    world.until(|_| peer.stream.peek(&mut [0]).is_ok_and(|size| size > 0).then_some(()));
-    peer.stream.set_nonblocking(false).expect("a setting");
+    world.reaches(&peer);
     let request = peer.request();
     assert_eq!((request.method.as_str(), request.target.as_str()), ("GET", "/-/load"));
     let peer = answer.map(|answer| {
@@ -349,9 +350,7 @@
     let at = world.worker.local_addr().expect("an address");
     world.attempts.probe(&mut world.reactor, 1, at, 0.4);
     let mut peer = Peer::accept(&world.worker);
-    peer.stream.set_nonblocking(true).expect("a setting");
-    world.until(|_| peer.stream.peek(&mut [0]).is_ok_and(|size| size > 0).then_some(()));
-    peer.stream.set_nonblocking(false).expect("a setting");
+    world.reaches(&peer);
     for (now, ended) in [(1000.39, false), (1000.42, true)] {
         world.reactor.now = now;
         for due in world.reactor.due() {
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -159,52 +159,31 @@
 /// that had greeted, or had been told what was so before.
 #[test]
 fn an_operators_word_before_the_older_process_has_told_all_is_the_last_one() {
+    let drained = |on, ago| Tale::Drain { on, ago };
     for greeted in [false, true] {
-        // The older process has it out of use, and does not know yet that it is wanted again.
-        play("resume", |bed| {
-            if greeted {
-                bed.greet();
-            }
-            let call = bed.calls("/v1/route-workers/s-0/resume");
-            if !greeted {
-                bed.greet();
-            }
-            bed.older.say(&[Message::Tale(tale("s-0", false))]);
-            bed.older.told();
-            bed.hears(&tale("s-0", true))?;
-            assert!(answered(call).starts_with("HTTP/1.1 200 "));
-            Some(())
-        });
-        // It is to go out of use, which the older process, which goes on sending, has to know.
-        play("suspend", |bed| {
-            if greeted {
-                bed.greet();
-            }
-            let call = bed.calls("/v1/route-workers/s-0/suspend");
-            if !greeted {
-                bed.greet();
-            }
-            bed.older.say(&[Message::Tale(tale("s-0", true))]);
-            bed.older.told();
-            bed.hears(&tale("s-0", false))?;
-            assert!(answered(call).starts_with("HTTP/1.1 200 "));
-            Some(())
-        });
-        // A drain of the older process that has been ended.
-        play("activate", |bed| {
-            if greeted {
-                bed.greet();
-            }
-            let call = bed.calls("/v1/node/activate");
-            if !greeted {
-                bed.greet();
-            }
-            bed.older.say(&[Message::Tale(Tale::Drain { on: true, ago: 1.0 })]);
-            bed.older.told();
-            bed.hears(&Tale::Drain { on: false, ago: 0.0 })?;
-            assert!(answered(call).starts_with("HTTP/1.1 200 "));
-            Some(())
-        });
+        for (name, path, before, word) in [
+            // The older process has it out of use, and does not know yet that it is wanted again.
+            ("resume", "/v1/route-workers/s-0/resume", tale("s-0", false), tale("s-0", true)),
+            // It is to go out of use, which the older process, which goes on sending, has to know.
+            ("suspend", "/v1/route-workers/s-0/suspend", tale("s-0", true), tale("s-0", false)),
+            // A drain of the older process that has been ended.
+            ("activate", "/v1/node/activate", drained(true, 1.0), drained(false, 0.0)),
+        ] {
+            play(name, |bed| {
+                if greeted {
+                    bed.greet();
+                }
+                let call = bed.calls(path);
+                if !greeted {
+                    bed.greet();
+                }
+                bed.older.say(&[Message::Tale(before.clone())]);
+                bed.older.told();
+                bed.hears(&word)?;
+                assert!(answered(call).starts_with("HTTP/1.1 200 "));
+                Some(())
+            });
+        }
     }
 }
 
@@ -220,9 +199,9 @@
         for _ in 0..2 {
             assert_eq!(ask(bed.door, "GET", "/v1/readyz", &[], b"").expect("an answer").status, 503);
         }
+        // The setting is the listener's, and so the process's, too: taken back, its next look would wait there.
         bed.listener.set_nonblocking(true).expect("a setting");
         let taken = bed.listener.accept();
-        bed.listener.set_nonblocking(false).expect("a setting");
         // Unless the newer process had waited for too long already.
         let taken = taken.ok().map(|(stream, _)| stream);
         bed.older.told();
