Let a connection rest behind the answer to a cancel, as it did before probes

Found on the last reading: with any 200 let a connection be used again at once, a cancel's and an attempt's too, so that a second answer to a cancel would have been taken for the next attempt's and ended it in an error. Only a probe's 200 and an attempt's 202 do.

--- a/src/net/back/attempts.rs
+++ b/src/net/back/attempts.rs
@@ -16,8 +16,8 @@
 const WORN_DOUBLES: f64 = 5.0;
 /// It is never learned to be shorter.
 const WORN_LEAST: f64 = 0.02;
-/// A connection on which a worker has answered anything but that it takes the job is used again after this time, in seconds: it
-/// may answer twice, some milliseconds apart, and the second would be taken for the next attempt's.
+/// A connection on which a worker has answered anything but that it takes the job, or a probe with its load, is used again after
+/// this time, in seconds: it may answer twice, some milliseconds apart, and the second would be taken for the next attempt's.
 const AGAIN_AFTER: f64 = 0.05;
 /// How long the answer to a cancel, or to an attempt that has been decided, is waited for.
 const PATIENCE: f64 = 2.0;
@@ -130,12 +130,13 @@
         match http::read_response(&connection.input, ended, http::MOST_BODY) {
             _ if self.errands.errand == Errand::Idle => connection.abort(),
             Ok(Read::Whole(response, size)) => {
+                let probe = matches!(self.errands.errand, Errand::Probe(..));
+                let at_once = response.status == if probe { 200 } else { 202 };
                 self.answered(&response, early);
                 connection.consume(size);
                 if response.keeps && !early && !ended && connection.input.is_empty() {
                     self.errands.errand = Errand::Idle;
-                    let rests = if matches!(response.status, 200 | 202) { 0.0 } else { AGAIN_AFTER };
-                    self.errands.usable_from = self.reactor.now + rests;
+                    self.errands.usable_from = self.reactor.now + if at_once { 0.0 } else { AGAIN_AFTER };
                 } else {
                     connection.abort();
                 }
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -111,6 +111,23 @@
     assert!(first.request().body.is_empty() && first.ended(), "one request came there, and no other");
 }
 
+/// Guards against the same of a cancel: its second answer would end the next attempt, which runs, in an error.
+#[test]
+fn a_cancels_second_answer_is_not_the_next_attempts() {
+    let mut world = World::new();
+    let mut peer = world.taken(&[1]).remove(0);
+    let at = world.worker.local_addr().expect("an address");
+    world.attempts.abandon(&mut world.reactor, 1, at, "job-1", true);
+    world.reaches(&peer);
+    assert_eq!(peer.request().method, "DELETE");
+    peer.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    // Another attempt goes out and is taken, so that the answer has been read.
+    let _other = world.taken(&[2]);
+    assert!(!world.dials(1000.01, 3), "on the one that has just been taken");
+    assert!(world.dials(1000.02, 4), "the cancel's connection rests");
+    assert!(!world.dials(1000.06, 5), "and is used again");
+}
+
 /// Guards against a handshake for each attempt to a worker that turns some away: a connection that has rested is used again; and
 /// one on which a job was taken, at once.
 #[test]
