Review case 3: a keyed job is refused while its attempt is out, and runs twice

When the record of a hedged attempt can't be written, the request is rejected with 'a retry is harmless' although its first attempt is out. review/3 shows it with a disk that fills up; with the client's retry at another node the job runs in two cells.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/common.py
+++ b/review/common.py
@@ -238,11 +238,11 @@
                 return
         self.report({"id": job, "from": self.name, "state": "done", "result": "result of " + job})
 
-    def report(self, event):
+    def report(self, event, node=None):
         body = json.dumps(event).encode()
         for _ in range(10):
             try:
-                status = post(self.callback, "/v1/job-events", body, timeout=2.0)
+                status = post(node or self.callback, "/v1/job-events", body, timeout=2.0)
                 self.record.line(self.name, f"reports {event['state']} of {event['id']}: {status}")
                 if status in (200, 204):
                     return
