--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-import json
+import socket
 import sys
 import threading
 import time
@@ -7,126 +7,125 @@
 sys.path.insert(0, __file__.rsplit("/", 2)[0])
 import common  # noqa: E402
 
-VOTERS = ["node-1", "node-2", "node-3"]
-NAMES = VOTERS + ["node-4"]
-DUTY = "bans"
-ROUNDS = 6
-
-
-def call(address, path, method="GET", timeout=6.0):
-    with common.connect(address, timeout=timeout) as sock:
-        sock.sendall(common.request_bytes(path, b"", {"Connection": "close"}, method))
-        answer = common.Stream(sock).read()
-        if answer is None:
-            raise OSError("closed without an answer")
-        return answer
-
-
-def owners(address):
-    """What a node shows of the lease: its owner, the token, and for how long this node may act."""
-    status = json.loads(call(address, "/v1/fleet/owners").body)
-    for lease in status["duties"]:
-        if lease["duty"] == DUTY:
-            return lease["owner"], lease["token"], lease["left_ms"]
-    return None, None, None
+KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+RUN_SECONDS = 3.0
+DOWN_SECONDS = 1.5  # the pages: 1.2 to 7.9 s
+REPEAT_SECONDS = 0.5
+
+
+class Path:
+    """The network between the route worker and the node. While `loses_answers` is set, what the
+    node answers does not arrive: the connection is reset."""
+
+    def __init__(self, record, node):
+        self.record = record
+        self.node = node
+        self.loses_answers = False
+        listener = common.listen()
+        self.address = "%s:%d" % listener.getsockname()
+        threading.Thread(target=self.accept, args=(listener,), daemon=True).start()
+
+    def accept(self, listener):
+        while True:
+            sock, _ = listener.accept()
+            threading.Thread(target=self.carry, args=(sock,), daemon=True).start()
+
+    def carry(self, sock):
+        try:
+            with sock, common.connect(self.node, timeout=5.0) as onward:
+                message = common.Stream(sock).read()
+                if message is None:
+                    return
+                onward.sendall(common.request_bytes("/v1/job-events", message.body, {}))
+                answer = common.Stream(onward).read()
+                if answer is None:
+                    return
+                if self.loses_answers:
+                    self.record.line("network", f"loses the answer {answer.status}")
+                    return
+                sock.sendall(common.response(answer.status, answer.body))
+        except OSError:
+            pass
 
 
-class Watcher(threading.Thread):
-    """Asks one node again and again whether it may act as the owner."""
+class ReturningWorker(common.Worker):
+    """Hands the first job back unstarted, then takes what comes. It repeats each report until it is
+    answered, ten times at most."""
 
-    def __init__(self, name, address):
-        super().__init__(daemon=True)
-        self.name_of_node = name
-        self.address = address
-        self.seen = []  # (asked, answered, token, left_ms)
-        self.done = False
+    handed_back = False
 
-    def run(self):
-        while not self.done:
-            asked = time.monotonic()
-            try:
-                _, token, left = owners(self.address)
-            except (OSError, ValueError):
-                time.sleep(0.02)
-                continue
-            answered = time.monotonic()
-            if left:
-                self.seen.append((asked, answered, token, left))
-            time.sleep(0.005)
+    def handle(self, message):
+        job = message.fields.get("x-request-id")
+        if message.first.startswith("POST ") and not self.handed_back:
+            self.handed_back = True
+            self.record.line(self.name, f"takes {job}, and hands it back")
+            event = {"id": job, "from": self.name, "state": "returned"}
+            threading.Thread(target=self.report, args=(event,), daemon=True).start()
+            return common.response(202)
+        return super().handle(message)
 
 
 def case(case):
     record = case.record
-    discovery = common.Discovery([])
-    ports = {name: common.free_port() for name in NAMES}
-    seeds = [f"{common.HOST}:{ports[name]}" for name in NAMES]
-    mgmt = {}
-    for name in NAMES:
-        config = case.config(name, discovery, [common.REROUTE, common.DAY_PLAN])
-        mgmt[name] = config["mgmt"] = f"{common.HOST}:{common.free_port()}"
-        operator = {"fleet": {"cluster": "riga", "listen": f"{common.HOST}:{ports[name]}",
-                              "seeds": seeds, "voters": VOTERS},
-                    "store": {"folder": f"{case.folder}/store-{name}"}, "duties": {}}
-        common.Node(case, name, config, operator)
-
-    def wait_for(what, seconds, condition):
-        until = time.monotonic() + seconds
-        while time.monotonic() < until:
-            try:
-                if condition():
-                    return
-            except (OSError, ValueError):
-                pass
-            time.sleep(0.05)
-        raise common.CannotRun(what)
-
-    def holder():
-        for name in NAMES:
-            owner, token, left = owners(mgmt[name])
-            if owner == name and left:
-                return name
-        return None
-
-    wait_for("no owner", 20, holder)
-    record.line("cluster", f"the owner of {DUTY} is {holder()}")
-    watchers = [Watcher(name, mgmt[name]) for name in NAMES]
-    for watcher in watchers:
-        watcher.start()
-    for number in range(ROUNDS):
-        if holder() != "node-4":
-            answer = call(mgmt["node-1"], f"/v1/fleet/owners/{DUTY}/hand/node-4", "POST")
-            record.line("operator", f"hand to node-4: {answer.status}")
-            wait_for("node-4 does not own the lease", 8, lambda: holder() == "node-4")
-        time.sleep(0.5 + 0.17 * number)
-        record.line("cluster", f"the owner of {DUTY} is {holder()}")
-        if common.TROUBLE:
-            answer = call(mgmt["node-1"], f"/v1/fleet/owners/{DUTY}/release", "POST")
-            record.line("operator", f"release, called at node-1: {answer.status}")
-        time.sleep(1.5)
-        record.line("cluster", f"the owner of {DUTY} is {holder()}")
-    for watcher in watchers:
-        watcher.done = True
-    for watcher in watchers:
-        watcher.join(timeout=3)
-
-    broken = []
-    for old in watchers:
-        for new in watchers:
-            for asked, answered, token, left in new.seen:
-                # The older owner was asked after the newer one's answer had arrived, and answered
-                # inside the time that the newer one had named.
-                later = [(a, t) for a, b, t, _ in old.seen
-                         if t < token and a > answered and b < asked + left / 1000.0]
-                if later:
-                    text = (f"{new.name_of_node} may act for {DUTY} under token {token}, and "
-                            f"{old.name_of_node}, asked "
-                            f"{max(a for a, _ in later) - answered:.3f} s after that answer, may act "
-                            f"under token {later[-1][1]}")
-                    broken.append((token, text))
-    first = {}
-    for token, text in broken:
-        first.setdefault(token, text)
-    return list(first.values())
+    worker = ReturningWorker(record, "s-0", lambda worker, message: {"run": RUN_SECONDS})
+    worker.repeat_seconds = REPEAT_SECONDS
+    discovery = common.Discovery([worker.member()])
+    config = case.config("n0", discovery, [common.REROUTE, common.DAY_PLAN])
+    operator = {"store": {"folder": case.folder + "/store"}}
+    path = Path(record, config["listen"])
+    path.loses_answers = common.TROUBLE
+    worker.callback = path.address
+    node = common.Node(case, "n0", config, operator)
+    node.wait_ready()
+
+    def send(job):
+        sock = common.connect(config["listen"])
+        record.line("client", f"sends {job} key={KEY[:8]}")
+        sock.sendall(common.request_bytes("/day-plan/driver/17", b"stops=4", {
+            "X-Request-Id": job, "X-Tenant": "baltvedums", "X-Deadline": "12.000",
+            "Idempotency-Key": KEY}))
+        return sock
+
+    def read(job, sock):
+        try:
+            answer = common.Stream(sock).read()
+        except OSError as error:
+            answer = None
+            record.line("client", f"{job}: {error}")
+        text = "no answer" if answer is None else f"{answer.first} {answer.body!r}"
+        record.line("client", f"{job} got {text}")
+        return answer
+
+    sock = send("plan-1")
+    until = time.monotonic() + 5
+    while not worker.runs and time.monotonic() < until:
+        time.sleep(0.01)
+    if not worker.runs:
+        raise common.CannotRun("the job was not sent again after it had been handed back")
+    if common.TROUBLE:
+        time.sleep(0.1)
+        path.loses_answers = False
+        record.line("node", "killed")
+        node.process.kill()
+        node.process.wait()
+    read("plan-1", sock)
+    if common.TROUBLE:
+        time.sleep(DOWN_SECONDS)
+        record.line("node", "started again")
+        node = common.Node(case, "n0", config, operator)
+        node.wait_ready()
+        time.sleep(2 * REPEAT_SECONDS)
+    for number in range(2, 5):  # a refusal says that a retry is harmless
+        answer = read(f"plan-{number}", send(f"plan-{number}"))
+        if answer is None or answer.status not in (429, 503):
+            break
+        time.sleep(float(answer.fields.get("retry-after", "1")))
+    time.sleep(RUN_SECONDS)
+
+    runs = [f"{job} at {at:.3f}" for at, job, key, *_ in worker.runs if key == KEY]
+    if len(runs) > 1:
+        return [f"the day-plan of key {KEY[:8]} ran {len(runs)} times: " + ", ".join(runs)]
+    return []
 
 
 common.run_case(__file__, case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,4 @@
 import hashlib
-import os
 import sys
 import threading
 import time
@@ -8,122 +7,82 @@
 sys.path.insert(0, __file__.rsplit("/", 2)[0])
 import common  # noqa: E402
 
-JOBS = 8
-QUEUED_SECONDS = 0.8
-RUN_SECONDS = 1.0
-# A class like `teavitus` of the second deployment: it has a key, and the route workers of one cell
-# drop a repeat.
-SERVICE = {"name": "notice", "effect": "token", "dedup-scope": "cell", "memory-span": 10.0,
-           "aim": 1.0, "deadline": 6.0, "importance": 3.0}
+BODY_BYTES = 4000
+COUNT = 48
 
 
-class QueueingWorker(common.Worker):
-    """Tells the start of a job, which waits in a queue first. It has an address for each node, as
-    the lists may give it, and reports to the node that sent the job. A cancel does not drop a
-    waiting job ('waiting work is dropped on some days only'). A repeat of a key that a worker of
-    its cell has had is not run: it is reported like the first one."""
-
-    def __init__(self, record, name, cell, keys):
-        super().__init__(record, name, lambda worker, message: {}, cell)
-        self.keys = keys
-        self.ran = []  # (key, id)
-
-    def member_for(self, node):
-        """Its entry in the list of a node: an address at which only that node calls."""
-        listener = common.listen()
-        common.serve(listener, lambda message: self.take(message, node))
-        return {**self.member(), "host_port": "%s:%d" % listener.getsockname()}
-
-    def take(self, message, node):
-        if not message.first.startswith("POST "):
-            return self.handle(message)
-        key, job = message.fields["idempotency-key"], message.fields["x-request-id"]
-        self.record.line(self.name, f"takes {job} key={key[:8]}")
-        threading.Thread(target=self.work, args=(job, key, node), daemon=True).start()
-        return common.response(202)
-
-    def work(self, job, key, node):
-        time.sleep(QUEUED_SECONDS)
-        with self.lock:
-            is_repeat = (self.cell, key) in self.keys
-            self.keys.add((self.cell, key))
-        if not is_repeat:
-            self.record.line(self.name, f"RUNS {job} key={key[:8]} cell={self.cell}")
-            self.ran.append((key, job))
-            self.report({"id": job, "from": self.name, "state": "started"}, node)
-        time.sleep(RUN_SECONDS)
-        self.report({"id": job, "from": self.name, "state": "done", "result": "ok"}, node)
+def body_of(job):
+    """A body in which each place tells whose it is."""
+    unit = (job + ";").encode()
+    return (unit * (BODY_BYTES // len(unit) + 1))[:BODY_BYTES]
 
 
 def case(case):
     record = case.record
-    keys = set()
-    workers = [QueueingWorker(record, f"s-{n}", 1 + n // 2, keys) for n in range(4)]
-    trouble = case.folder + "/trouble"
-    nodes = []
-    for name in ("n0", "n1"):
-        port = common.free_port()
-        address = f"{common.HOST}:{port}"
-        discovery = common.Discovery([worker.member_for(address) for worker in workers])
-        config = case.config(name, discovery, [SERVICE, common.DAY_PLAN], port=port)
-        config["settings"]["balancers"] = 2
-        config["settings"]["extra"]["tells-start"] = True
-        store = {"folder": f"{case.folder}/store-{name}", "keyed_durable": True}
-        if name == "n0":
-            store["trouble_file"] = trouble
-        nodes.append(common.Node(case, name, config, {"store": store}))
-    for node in nodes:
-        node.wait_ready()
-
-    def ask(node, job, key, meanwhile=lambda: None):
-        record.line("client", f"sends {job} to {node.name}")
-        sock = common.connect(node.address)
-        start = time.monotonic()
-        sock.sendall(common.request_bytes("/notice/feed/17", b"stops=4", {
-            "X-Request-Id": job, "X-Tenant": "baltvedums", "X-Deadline": "6.000",
-            "X-Cost-Hint": "1000000", "Idempotency-Key": key}))
-        meanwhile()
-        answer = common.Stream(sock).read()
-        sock.close()
+    plan = lambda worker, message: {"run": 0.15}
+    workers = [common.Worker(record, f"s-{n}", plan) for n in range(2)]
+    discovery = common.Discovery([worker.member() for worker in workers])
+    config = case.config("n0", discovery, [common.REROUTE, common.DAY_PLAN])
+    node = common.Node(case, "n0", config)
+    for worker in workers:
+        worker.callback = node.address
+    node.wait_ready()
+
+    sent = {}
+    answers = []
+    sock = common.connect(node.address)
+    stream = common.Stream(sock)
+
+    def read_answer():
+        try:
+            answer = stream.read()
+        except OSError as error:
+            record.line("client", f"connection broke: {error}")
+            return False
         if answer is None:
-            raise common.CannotRun("the connection was closed without an answer")
-        record.line("client", f"{job} got {answer.first} after {time.monotonic() - start:.3f} s, "
-                              f"Retry-After: {answer.fields.get('retry-after')}")
-        return answer
-
-    def disk_full():
-        time.sleep(0.1)
-        if common.TROUBLE:
-            with open(trouble, "w", encoding="utf-8") as file:
-                file.write("full")
-            record.line("disk of n0", "full")
-
-    refused = []
-    for number in range(JOBS):
-        key = hashlib.sha256(str(number).encode()).hexdigest()[:32]
-        answer = ask(nodes[0], f"notice-{number}", key, disk_full)
-        if answer.status in (429, 503):
-            refused.append((f"notice-{number}", key))
-            # A refusal says that a retry is harmless: the client tries again, at the other node.
-            time.sleep(float(answer.fields.get("retry-after", "1")))
-            ask(nodes[1], f"notice-{number}-again", key)
-        else:
-            time.sleep(QUEUED_SECONDS + RUN_SECONDS)
-        if common.TROUBLE:
-            os.remove(trouble)
-            record.line("disk of n0", "has room again")
-            time.sleep(1.0)
-    time.sleep(QUEUED_SECONDS + RUN_SECONDS)
+            record.line("client", "connection closed by the node")
+            return False
+        record.line("client", f"answer {answer.first} {answer.body[:40]!r}")
+        answers.append(answer)
+        return True
+
+    def commands(first, count):
+        data = b""
+        for number in range(first, first + count):
+            job = f"c{number:04d}-{hashlib.sha256(str(number).encode()).hexdigest()[:8]}"
+            sent[job] = body_of(job)
+            data += common.request_bytes("/reroute/van", sent[job], {
+                "X-Request-Id": job, "X-Tenant": "baltvedums", "X-Deadline": "6.000",
+                "Idempotency-Key": hashlib.sha256(job.encode()).hexdigest()[:32]})
+        return data
+
+    if common.TROUBLE:
+        reader = threading.Thread(target=lambda: [None for _ in iter(read_answer, False)], daemon=True)
+        reader.start()
+        try:
+            for first in range(0, COUNT, 16):
+                record.line("client", f"sends 16 commands at once, from {first}")
+                sock.sendall(commands(first, 16))
+                time.sleep(1.5)
+        except OSError as error:
+            record.line("client", f"cannot send: {error}")
+        reader.join(timeout=15)
+    else:
+        for number in range(COUNT):
+            sock.sendall(commands(number, 1))
+            if not read_answer():
+                break
+    time.sleep(0.5)
 
     broken = []
-    for job, key in refused:
-        ran = [(worker.name, i) for worker in workers for k, i in worker.ran if k == key]
-        own = [name for name, i in ran if i == job]
-        if own:
-            text = f"{job} was refused, though it ran at {own[0]}"
-            if len(ran) > 1:
-                text += f"; with the client's retry the job ran {len(ran)} times: {ran}"
-            broken.append(text)
+    for worker in workers:
+        for at, job, key, target, body in worker.runs:
+            if job not in sent:
+                broken.append(f"{worker.name} was sent {job!r}, which no client sent")
+            elif body != sent[job]:
+                parts = sorted({p.decode("latin-1") for p in body.split(b";")[:-1]} - {job})
+                broken.append(f"{worker.name} ran {job} with a body that no client sent: "
+                              f"it holds {parts[:4]}")
     return broken
 
 
--- a/review/common.py
+++ b/review/common.py
@@ -196,6 +196,7 @@
         self.cell = cell
         self.stops_running = stops_running
         self.callback = None
+        self.repeat_seconds = 0.3
         self.cancelled = set()
         self.runs = []  # (time, id, Idempotency-Key, target, body)
         self.lock = threading.Lock()
@@ -248,7 +249,7 @@
                     return
             except OSError as error:
                 self.record.line(self.name, f"report of {event['id']} not answered: {error}")
-            time.sleep(0.3)
+            time.sleep(self.repeat_seconds)
 
 
 def post(address, path, body, timeout):
