--- a/review/1/case.py
+++ b/review/1/case.py
@@ -70,8 +70,15 @@
     worker = ReturningWorker(record, "s-0", lambda worker, message: {"run": RUN_SECONDS})
     worker.repeat_seconds = REPEAT_SECONDS
     discovery = common.Discovery([worker.member()])
-    config = case.config("n0", discovery, [common.REROUTE, common.DAY_PLAN])
+    services = [common.REROUTE, common.DAY_PLAN]
+    config = case.config("n0", discovery, services)
+    config["settings"]["balancers"] = 2
     operator = {"store": {"folder": case.folder + "/store"}}
+    # A second node lives through the case: at most half of the nodes die.
+    other = common.Node(case, "n1", {**case.config("n1", discovery, services),
+                                     "settings": config["settings"]},
+                        {"store": {"folder": case.folder + "/store-1"}})
+    other.wait_ready()
     path = Path(record, config["listen"])
     path.loses_answers = common.TROUBLE
     worker.callback = path.address
