Fix a request completed with bytes of later ones: append nothing behind discarded input

Cause: while a request waits for its answer, input beyond the buffer is read and discarded, so that a disconnection is noticed. The buffer then ends within a request. Once answered requests had made room, Connection::read appended what arrived next behind that gap; it looked at is_full() alone. The session closes such a connection only when the buffer has no complete request left, and by then the cut one looked complete.

Evidence: a test with numbered bytes shows the gap in the buffer after four steps, without HTTP; a test of the clients' side shows the wrong body in the submission, without a worker.

Change: once a connection has discarded input, it appends nothing more and goes on reading only to notice the disconnection. The requests before the gap are answered, then the connection is closed, as the session always meant to. Related path with the same cause: in a hot restart a waiting connection migrated with the buffer that ends in a gap, and the newer process could not know; it now stays with the process that discarded its input. Connections to workers, discovery, the management API and other nodes never discard (read).

--- a/src/net/downstream/clients.rs
+++ b/src/net/downstream/clients.rs
@@ -178,6 +178,13 @@
             .is_some_and(Session::awaits_answer)
     }
 
+    /// Whether a client waits for its final answer and its connection can migrate to another process.
+    pub fn can_migrate(&self, client: ClientId) -> bool {
+        self.sessions
+            .get(&(client as usize))
+            .is_some_and(Session::can_migrate)
+    }
+
     /// Closes connections that have been idle for at least this long and have no unread input.
     pub fn close_idle_connections(&mut self, reactor: &mut Reactor, min_idle_seconds: f64) {
         let keys: Vec<usize> = self.connection_keys().collect();
--- a/src/net/downstream/migration.rs
+++ b/src/net/downstream/migration.rs
@@ -53,13 +53,13 @@
     }
 
     /// Releases the connection of a client that waits for its final answer; returns `None` if the
-    /// client does not.
+    /// client does not, or if its connection can't migrate.
     pub fn release_waiting_connection(
         &mut self,
         reactor: &Reactor,
         client: ClientId,
     ) -> Option<ReleasedWaitingConnection> {
-        if !self.awaits_answer(client) {
+        if !self.can_migrate(client) {
             return None;
         }
         let parts = self.release_connection(reactor, client as usize)?;
--- a/src/net/downstream/session.rs
+++ b/src/net/downstream/session.rs
@@ -120,6 +120,12 @@
         self.state.phase == Phase::AwaitingAnswer && self.connection.state() == State::Open
     }
 
+    /// Whether the connection can migrate to another process while its client waits for an answer.
+    /// That process would not know of discarded input, and would read on behind the gap.
+    pub(super) fn can_migrate(&self) -> bool {
+        self.awaits_answer() && !self.connection.has_discarded_input()
+    }
+
     /// Whether the connection is open, no response is due and no request head has been parsed.
     pub(super) fn is_between_requests(&self) -> bool {
         self.state.phase == Phase::Reading
--- a/src/net/node/handover.rs
+++ b/src/net/node/handover.rs
@@ -309,8 +309,9 @@
             if !handover.has_write_capacity(successor) {
                 break;
             }
-            // The client has disconnected, and the request manager has not handled that yet.
-            if !self.clients.awaits_answer(client) {
+            // The connection has to stay here, or the client has disconnected and the request
+            // manager has not handled that yet.
+            if !self.clients.can_migrate(client) {
                 continue;
             }
             let Some(request) = self.requests.release_request(self.reactor.now, client) else {
--- a/src/net/transport/connection.rs
+++ b/src/net/transport/connection.rs
@@ -149,6 +149,12 @@
         self.input.len() >= self.max_input_bytes
     }
 
+    /// Whether bytes that arrive are appended to the input. Once any have been discarded, none are
+    /// appended any more: behind the gap, they would complete a message that was cut there.
+    fn accepts_input(&self) -> bool {
+        !self.has_discarded_input && !self.is_full()
+    }
+
     /// Whether nothing more can be received.
     pub fn read_side_closed(&self) -> bool {
         matches!(self.state, State::HalfClosed | State::Ended)
@@ -262,7 +268,7 @@
                         return;
                     }
                 }
-                Ok(size) if !self.is_full() => self.input.extend_from_slice(&chunk[..size]),
+                Ok(size) if self.accepts_input() => self.input.extend_from_slice(&chunk[..size]),
                 Ok(size) => {
                     self.has_discarded_input = true;
                     discarded += size;
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -12,6 +12,7 @@
 use postproxy::net::transport::http::{self, ParseStatus, Request};
 use std::io::{Read as _, Write as _};
 use std::net::Shutdown;
+use std::ops::Range;
 
 const READINESS_CHECK: &str = "GET /-/ready HTTP/1.1\r\n\r\n";
 const CALLBACK: &str = "POST /v1/job-events HTTP/1.1\r\nContent-Length: 40\r\n\r\n\
@@ -239,6 +240,100 @@
     }
 }
 
+/// The body of a pipelined request: its request id, repeated.
+fn pipelined_body(id: &str) -> String {
+    format!("{id};").repeat(600)
+}
+
+/// A request with [`pipelined_body`].
+fn pipelined_request(id: &str) -> String {
+    let body = pipelined_body(id);
+    let length = body.len();
+    format!("POST /render HTTP/1.1\r\nX-Request-Id: {id}\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+/// Sends pipelined requests with these numbers. The node reads them in pieces that end within
+/// requests.
+fn send_pipelined(harness: &mut ClientsHarness, client: &mut TestClient, numbers: Range<usize>) {
+    let requests: String = numbers
+        .map(|number| pipelined_request(&format!("job-{number:03}")))
+        .collect();
+    for piece in requests.as_bytes().chunks(1000) {
+        // The node may have closed the connection.
+        let _ = client.stream.write_all(piece);
+        harness.read_from(client);
+    }
+}
+
+/// Answers requests until at most `max_answers` have been answered or none waits; returns the
+/// number of answers. Each request must have the body that its client sent.
+fn answer_pipelined(harness: &mut ClientsHarness, max_answers: usize) -> usize {
+    for answered in 0..max_answers {
+        let Some(input) = harness.reactor.queue.pop_front() else {
+            return answered;
+        };
+        let Input::RequestReceived { client, submission } = input else {
+            panic!("unexpected input: {input:?}");
+        };
+        let payload = submission.payload;
+        assert!(
+            payload.body == pipelined_body(&payload.id).as_bytes(),
+            "the body of {} is not the one that was sent",
+            payload.id
+        );
+        let answer = Answer::Served(b"result".into());
+        harness
+            .clients
+            .send_answer(&mut harness.reactor, client, &answer);
+    }
+    max_answers
+}
+
+/// Guards against a request that is forwarded with a body that no client sent: of a client that
+/// pipelines more than the input buffer holds, input is discarded, and what arrives later must not
+/// complete the request before the gap.
+#[test]
+fn a_request_cut_by_discarded_input_is_not_completed_by_later_bytes() {
+    let mut harness = ClientsHarness::new(8);
+    let mut client = harness.connect();
+    send_pipelined(&mut harness, &mut client, 0..16);
+    let mut answered = answer_pipelined(&mut harness, 4);
+    assert_eq!(answered, 4);
+    assert!(harness.is_open(&client), "more requests are buffered");
+    send_pipelined(&mut harness, &mut client, 16..32);
+    answered += answer_pipelined(&mut harness, usize::MAX);
+    assert!((5..16).contains(&answered), "{answered} requests answered");
+    assert!(!harness.is_open(&client), "nothing complete is buffered");
+    let responses = client.read_to_end();
+    assert_eq!(responses.matches("HTTP/1.1 ").count(), answered);
+    assert_eq!(responses.matches("HTTP/1.1 200 ").count(), answered);
+}
+
+/// Guards against the same after a hot restart: the newer process would not know that input is
+/// missing. Such a connection is served to its end by the process that discarded its input.
+#[test]
+fn a_connection_with_discarded_input_does_not_migrate() {
+    let mut harness = ClientsHarness::new(8);
+    let mut complete = harness.connect();
+    let mut cut = harness.connect();
+    send_pipelined(&mut harness, &mut complete, 0..4);
+    send_pipelined(&mut harness, &mut cut, 4..20);
+    let can_migrate =
+        [&complete, &cut].map(|client| harness.clients.can_migrate(client.key as u64));
+    assert_eq!(can_migrate, [true, false]);
+    let cut_id = cut.key as u64;
+    let released = harness
+        .clients
+        .release_waiting_connection(&harness.reactor, cut_id);
+    assert!(released.is_none() && harness.clients.awaits_answer(cut_id));
+    let complete_id = complete.key as u64;
+    let released = harness
+        .clients
+        .release_waiting_connection(&harness.reactor, complete_id);
+    let released = released.expect("its input is complete");
+    assert_eq!(released.input.len(), 3 * pipelined_request("job-000").len());
+}
+
 /// Guards against header fields that are lost, or assigned to the wrong field of the submission.
 #[test]
 fn a_submission_has_all_fields_of_its_request() {
--- a/tests/connection.rs
+++ b/tests/connection.rs
@@ -13,11 +13,18 @@
 /// Bytes that the stream returns from one read.
 const READ_BYTES: usize = 16;
 
+/// The byte at a position of the stream. The period is a prime number, so that a gap is noticed.
+fn byte_at(position: usize) -> u8 {
+    (position % 251) as u8
+}
+
 /// The state of the stream below the connection.
 #[derive(Default)]
 struct Wire {
     /// Bytes that can be read.
     readable: usize,
+    /// Bytes that have been read.
+    read: usize,
     /// Bytes that can be written.
     writable: usize,
     written: Vec<u8>,
@@ -46,7 +53,10 @@
             0 => Err(ErrorKind::WouldBlock.into()),
             _ => {
                 wire.readable -= size;
-                out[..size].fill(b'i');
+                for byte in &mut out[..size] {
+                    *byte = byte_at(wire.read);
+                    wire.read += 1;
+                }
                 Ok(size)
             }
         }
@@ -384,3 +394,33 @@
         "reading stops at the limit"
     );
 }
+
+/// Guards against a request that is completed with bytes of later ones: once excess input has been
+/// discarded, nothing that arrives later may be appended to the input before the gap.
+#[test]
+fn buffered_input_never_has_a_gap() {
+    let mut check = QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, 3))
+        .tests(3000);
+    check.quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
+    fn holds(steps: Vec<(u8, u8)>) -> bool {
+        let (wire, mut owner) = (SharedWire::default(), CallbackCounter::default());
+        let mut connection = Connection::established(TestStream(wire.clone()), MAX_INPUT_BYTES);
+        let mut consumed = 0;
+        steps.into_iter().all(|(number, size)| {
+            match number % 4 {
+                0 | 1 => wire.borrow_mut().readable += usize::from(size),
+                2 => {
+                    let consumable = usize::from(size).min(connection.input.len());
+                    connection.consume(consumable);
+                    consumed += consumable;
+                }
+                _ => connection.set_discard_excess_input(size % 2 == 0),
+            }
+            poll_until_idle(&mut connection, &mut owner, &wire);
+            let is_contiguous = |(offset, byte)| byte == byte_at(consumed + offset);
+            let mut input = connection.input.iter().copied().enumerate();
+            input.all(is_contiguous)
+        })
+    }
+}
