Fix a request that ran twice after a restart: ignore a 'returned' that may be repeated

The node's answer to a 'returned' report had got lost, and the node was killed while the next attempt ran at the same worker.

Cause: a callback names the request and the worker, not the attempt. RequestLog::resolve_late_callback gave it to the worker's last attempt in flight. The worker repeats a report until it is answered; the repeated 'returned' was about the attempt before, and was taken as proof that the running one had never run. The record was deleted, and the client that came back started a new request. In the process that sent the attempts there is a guard (attempt_of_callback in the request manager), and in a hot restart; the request log had none.

Evidence: a model of one key, one worker and a disk that loses nothing runs the request twice after seven steps: send, return, callback, send, restart, the callback again, send. Ruled out with it: writes that were not durable. Ruled out: the key is not recognised (it is found in doubt until that callback arrives).

Change: RequestRecord::attempt_of_callback assigns a callback to an attempt, and gives a 'returned' to none where an earlier attempt at that worker is recorded as never run. The request stays in doubt; done, failed and lost resolve it as before. It works since a worker gets a further attempt only after one that never ran, so that no other callback can be a repetition. The stored form is unchanged. The price: where the earlier attempt never reached the worker, a true 'returned' is ignored after a restart, and the client fails at its deadline.

Tests, each failed before: repeated_returned_callbacks_never_make_a_request_run_twice (2,000 random orders; "request-2 would run a second time"), a_repeated_returned_callback_after_a_restart_does_not_end_the_next_attempt (NeverRan and a deletion in place of Unresolved), and repeated_returned_callback_after_a_restart_does_not_end_the_next_attempt in the request manager.

--- a/crates/idempotency/src/record.rs
+++ b/crates/idempotency/src/record.rs
@@ -4,6 +4,7 @@
 //! Postcard identifies fields and enum variants by their order, so they may be renamed but not
 //! reordered.
 
+use crate::callback::Completion;
 use serde::{Deserialize, Serialize};
 
 /// The format version that this program writes and reads.
@@ -72,6 +73,28 @@
             .any(|attempt| attempt.outcome != AttemptOutcome::NeverRan)
     }
 
+    /// Returns the number of the attempt that a worker's callback ends: the worker's last one that
+    /// is in flight, since it has at most one attempt of a request at a time.
+    ///
+    /// Returns `None` if there is no such attempt, or if the callback may be about an earlier one:
+    /// a worker repeats a callback until it is acknowledged. It gets a further attempt only after
+    /// one that never ran, and of the callbacks only `Returned` ends an attempt that never ran.
+    pub(crate) fn attempt_of_callback(
+        &self,
+        worker: &str,
+        completion: Completion<'_>,
+    ) -> Option<usize> {
+        let number = self.attempts.iter().rposition(|attempt| {
+            attempt.worker == worker && attempt.outcome == AttemptOutcome::InFlight
+        })?;
+        let never_ran = |attempt: &Attempt| {
+            attempt.worker == worker && attempt.outcome == AttemptOutcome::NeverRan
+        };
+        let may_be_repeated =
+            completion == Completion::Returned && self.attempts[..number].iter().any(never_ran);
+        (!may_be_repeated).then_some(number)
+    }
+
     /// Whether the end of any attempt is unknown.
     pub(crate) fn has_attempt_in_flight(&self) -> bool {
         self.attempts
--- a/crates/idempotency/src/request_log.rs
+++ b/crates/idempotency/src/request_log.rs
@@ -310,14 +310,11 @@
         let Some(entry) = self.entries.get_mut(id).filter(|entry| entry.is_in_doubt()) else {
             return LateCallback::ignored();
         };
-        // A worker has at most one attempt of a request at a time, so its callback is about its
-        // last one.
-        let attempt = entry.record.attempts.iter_mut().rev().find(|attempt| {
-            attempt.worker == worker && attempt.outcome == AttemptOutcome::InFlight
-        });
-        let Some(attempt) = attempt else {
+        let number = entry.record.attempt_of_callback(worker, completion);
+        let Some(number) = number else {
             return LateCallback::ignored();
         };
+        let attempt = &mut entry.record.attempts[number];
         match completion {
             Completion::Done(result) => {
                 attempt.outcome = AttemptOutcome::MayHaveRun;
--- a/crates/idempotency/tests/request_log.rs
+++ b/crates/idempotency/tests/request_log.rs
@@ -125,6 +125,28 @@
     );
 }
 
+/// Guards against a request that runs twice: a worker repeats a `Returned` callback until it is
+/// acknowledged, and after a restart the repetition must not end a later attempt that is running.
+#[test]
+fn a_repeated_returned_callback_after_a_restart_does_not_end_the_next_attempt() {
+    let (mut disk, mut log) = (Disk::default(), RequestLog::new(Limits::default()));
+    disk.write(log.record_attempt_intent(100.0, &identity("a", Some("k")), "w-1", 112.0));
+    disk.write(log.record_attempt_ended(100.1, "a", 0, AttemptFailure::NeverRan));
+    disk.write(log.record_attempt_intent(100.2, &identity("a", Some("k")), "w-1", 112.0));
+    let mut log = disk.restart(Limits::default());
+    let repeated = log.resolve_late_callback(101.0, "a", "w-1", Completion::Returned);
+    assert_eq!(
+        (repeated.resolution, repeated.writes),
+        (Resolution::Unresolved, Vec::new())
+    );
+    assert_eq!(
+        log.lookup(&identity("b", Some("k"))),
+        Lookup::InDoubt("a".into())
+    );
+    let done = log.resolve_late_callback(102.0, "a", "w-1", Completion::Done(b"result"));
+    assert_eq!(done.resolution, Resolution::Served);
+}
+
 /// Results over the size limit aren't stored, a full log removes only requests with a final answer,
 /// and expired requests are removed.
 #[test]
@@ -275,3 +297,191 @@
         prop_assert!(attempts_sent.iter().all(|sent| *sent <= 1));
     }
 }
+
+/// What happens in the model of a request with repeated callbacks.
+#[derive(Clone, Copy, Debug)]
+enum RepeatedCallbackStep {
+    /// The client submits the request, or the node retries it after an attempt that never ran.
+    Send,
+    /// The worker returns the attempt that is running.
+    Return,
+    /// The worker completes the attempt that is running, and its callback arrives.
+    Complete,
+    /// A `Returned` callback arrives that the worker has sent before; the number selects it.
+    RepeatReturned(usize),
+    /// The node is killed and starts again.
+    Restart,
+}
+
+fn repeated_callback_steps() -> impl Strategy<Value = Vec<RepeatedCallbackStep>> {
+    let step = prop_oneof![
+        4 => Just(RepeatedCallbackStep::Send),
+        2 => Just(RepeatedCallbackStep::Return),
+        1 => Just(RepeatedCallbackStep::Complete),
+        3 => (0..8usize).prop_map(RepeatedCallbackStep::RepeatReturned),
+        2 => Just(RepeatedCallbackStep::Restart),
+    ];
+    prop::collection::vec(step, 1..40)
+}
+
+/// The state of an attempt at its worker.
+#[derive(Clone, Copy, PartialEq)]
+enum WorkerState {
+    Running,
+    /// Returned without having run. The callback may arrive at any time, and repeatedly.
+    Returned,
+    Completed,
+}
+
+/// An attempt, as its worker and its node see it.
+struct ModelAttempt {
+    id: String,
+    /// Number of the attempt within the request.
+    number: usize,
+    state: WorkerState,
+    /// Whether it is in flight in the process that sent it.
+    in_flight: bool,
+}
+
+/// A node with a request log and one worker, to which all attempts of one idempotency key are sent.
+struct RepeatedCallbackModel {
+    disk: Disk,
+    log: RequestLog,
+    attempts: Vec<ModelAttempt>,
+    requests: usize,
+    now: f64,
+}
+
+impl RepeatedCallbackModel {
+    fn new() -> Self {
+        Self {
+            disk: Disk::default(),
+            log: RequestLog::new(Limits::default()),
+            attempts: Vec::new(),
+            requests: 0,
+            now: 100.0,
+        }
+    }
+
+    /// Sends an attempt if the log allows it: the first of a new request, or the next one of a
+    /// request whose attempts never ran.
+    fn send(&mut self) -> Result<(), TestCaseError> {
+        let id = match self.log.lookup(&identity("unknown", Some("k"))) {
+            Lookup::New => {
+                self.requests += 1;
+                format!("request-{}", self.requests)
+            }
+            Lookup::InFlight(id) if self.attempts.iter().all(|attempt| !attempt.in_flight) => id,
+            _ => return Ok(()),
+        };
+        let never_ran = |attempt: &ModelAttempt| attempt.state == WorkerState::Returned;
+        prop_assert!(
+            self.attempts.iter().all(never_ran),
+            "{} would run a second time",
+            id
+        );
+        let of_request = |attempt: &&ModelAttempt| attempt.id == id;
+        let number = self.attempts.iter().filter(of_request).count();
+        let intent = self.log.record_attempt_intent(
+            self.now,
+            &identity(&id, Some("k")),
+            "w",
+            self.now + 60.0,
+        );
+        self.disk.write(intent);
+        self.attempts.push(ModelAttempt {
+            id,
+            number,
+            state: WorkerState::Running,
+            in_flight: true,
+        });
+        Ok(())
+    }
+
+    /// Delivers the `Returned` callback of an attempt. In the process that sent the attempt, it is
+    /// recognised as a repetition.
+    fn deliver_returned(&mut self, index: usize) {
+        let ModelAttempt {
+            id,
+            number,
+            in_flight,
+            ..
+        } = &mut self.attempts[index];
+        if std::mem::take(in_flight) {
+            let ended =
+                self.log
+                    .record_attempt_ended(self.now, id, *number, AttemptFailure::NeverRan);
+            self.disk.write(ended);
+        } else {
+            let callback = self
+                .log
+                .resolve_late_callback(self.now, id, "w", Completion::Returned);
+            self.disk.write(callback.writes);
+        }
+    }
+
+    /// Records the result of the attempt that is running, if there is one.
+    fn complete(&mut self) {
+        let Some(running) = self.running() else {
+            return;
+        };
+        running.state = WorkerState::Completed;
+        let id = running.id.clone();
+        let served = if std::mem::take(&mut running.in_flight) {
+            self.log.record_served(self.now, &id, b"result")
+        } else {
+            let done = Completion::Done(b"result");
+            let callback = self.log.resolve_late_callback(self.now, &id, "w", done);
+            callback.writes
+        };
+        self.disk.write(served);
+    }
+
+    /// Returns the attempt that is running.
+    fn running(&mut self) -> Option<&mut ModelAttempt> {
+        let is_running = |attempt: &&mut ModelAttempt| attempt.state == WorkerState::Running;
+        self.attempts.iter_mut().find(is_running)
+    }
+
+    fn take_step(&mut self, step: RepeatedCallbackStep) -> Result<(), TestCaseError> {
+        self.now += 0.1;
+        match step {
+            RepeatedCallbackStep::Send => self.send()?,
+            RepeatedCallbackStep::Return => {
+                if let Some(running) = self.running() {
+                    running.state = WorkerState::Returned;
+                }
+            }
+            RepeatedCallbackStep::Complete => self.complete(),
+            RepeatedCallbackStep::RepeatReturned(choice) => {
+                let is_returned =
+                    |index: &usize| self.attempts[*index].state == WorkerState::Returned;
+                let returned: Vec<usize> = (0..self.attempts.len()).filter(is_returned).collect();
+                if !returned.is_empty() {
+                    self.deliver_returned(returned[choice % returned.len()]);
+                }
+            }
+            RepeatedCallbackStep::Restart => {
+                self.log = self.disk.restart(Limits::default());
+                for attempt in &mut self.attempts {
+                    attempt.in_flight = false;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2000, rng_seed: proptest::test_runner::RngSeed::Fixed(46), ..ProptestConfig::default() })]
+
+    /// Guards against a request that runs twice, for any order of attempts at one worker, of
+    /// `Returned` callbacks that arrive late and repeatedly, and of restarts of the node.
+    #[test]
+    fn repeated_returned_callbacks_never_make_a_request_run_twice(steps in repeated_callback_steps()) {
+        let mut model = RepeatedCallbackModel::new();
+        for step in steps {
+            model.take_step(step)?;
+        }
+    }
+}
--- a/tests/durable_requests.rs
+++ b/tests/durable_requests.rs
@@ -184,7 +184,12 @@
             "it waits for its record"
         );
         let commands = self.complete_writes(DiskState::Working);
-        let started = started_attempt(&commands).expect("an attempt");
+        self.accept_attempt(&commands)
+    }
+
+    /// Reports the attempt that these commands start as written and accepted.
+    fn accept_attempt(&mut self, commands: &[Command]) -> StartedAttempt {
+        let started = started_attempt(commands).expect("an attempt");
         let attempt = started.attempt;
         self.handle(Input::AttemptWritten { attempt });
         self.end_attempt(attempt, AttemptEnd::Accepted);
@@ -369,6 +374,30 @@
     assert_eq!(answers(&commands), [(3, served("x")), (2, served("x"))]);
 }
 
+/// Guards against a request that must not run twice and does: after a restart, a repeated `Returned`
+/// callback must not end the attempt that runs at the same worker by then.
+#[test]
+fn repeated_returned_callback_after_a_restart_does_not_end_the_next_attempt() {
+    let mut harness = DurableHarness::new();
+    harness.handle(full_worker_list(1));
+    let worker = harness.submit_and_accept(1, "job", Some("k")).worker;
+    harness.deliver_callback("job", &worker, CallbackState::Returned);
+    let mut commands = harness.complete_writes(DiskState::Working);
+    commands.extend(harness.advance_to(harness.base.now + 1.0));
+    commands.extend(harness.complete_writes(DiskState::Working));
+    assert_eq!(harness.accept_attempt(&commands).worker, worker);
+    let mut harness = harness.restart();
+    harness.submit(2, "again", Some("k"), COMMIT, "body");
+    let commands = harness.deliver_callback("job", &worker, CallbackState::Returned);
+    assert!(
+        is_acknowledged(&commands) && harness.pending_writes.is_empty(),
+        "it changes nothing: {commands:?}"
+    );
+    let commands = harness.deliver_callback("job", &worker, done("x"));
+    assert_eq!(answers(&commands), [(2, served("x"))]);
+    assert!(started_attempt(&harness.complete_writes(DiskState::Working)).is_none());
+}
+
 /// Guards against running a request twice if its key arrives on two connections, and against
 /// cancelling it when the first of these connections closes.
 #[test]
