--- a/src/net/downstream/clients.rs
+++ b/src/net/downstream/clients.rs
@@ -178,7 +178,8 @@
             .is_some_and(Session::awaits_answer)
     }
 
-    /// Whether a client waits for its final answer and its connection can migrate to another process.
+    /// Whether a client waits for its final answer and its connection can migrate to another
+    /// process.
     pub fn can_migrate(&self, client: ClientId) -> bool {
         self.sessions
             .get(&(client as usize))
