Let the settings give a probe's timeout, in place of two constants

Need: PROBE_TIMEOUT_FACTOR stood in the decision module and in the request manager with the same value, and the two had to agree. Change: Settings::probe_timeout serves both; the value is unchanged.

--- a/src/decision/configuration.rs
+++ b/src/decision/configuration.rs
@@ -4,6 +4,10 @@
 use super::figures::finite_non_negative;
 use super::worker_entry::{Entry, NO_CELL, NO_ZONE};
 
+/// Timeout of a probe as a multiple of the connection timeout: one for the connection, and the rest
+/// for the answer of a busy worker.
+const PROBE_TIMEOUT_FACTOR: f64 = 4.0;
+
 /// The side effects of a request, which decide whether it can be sent again after it may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -230,6 +234,11 @@
 }
 
 impl Settings {
+    /// Returns how long a probe may take. After that an unanswered one may be sent again.
+    pub fn probe_timeout(&self) -> f64 {
+        PROBE_TIMEOUT_FACTOR * self.dial_timeout
+    }
+
     /// Returns whether workers may stop a running job of this class in favour of one with a higher
     /// priority. This is not a fault of the worker.
     pub fn may_preempt(&self, class: usize) -> bool {
--- a/src/decision/probes.rs
+++ b/src/decision/probes.rs
@@ -6,15 +6,12 @@
 use super::request::Request;
 use super::workers::WorkerIndex;
 
-/// Multiple of the connection timeout after which an unanswered probe may be sent again.
-const PROBE_TIMEOUT_FACTOR: f64 = 4.0;
-
 impl Dispatcher {
     /// Probes some workers, drawn by lottery, for a request. With little traffic, load reports in
     /// answers are so rare that they are outdated by the time of the next request.
     pub(super) fn probe_candidates(&mut self, id: RequestId, from: &[WorkerIndex], count: usize) {
         let probed = self.draw(id, from, count);
-        let timeout = PROBE_TIMEOUT_FACTOR * self.settings.dial_timeout;
+        let timeout = self.settings.probe_timeout();
         for &index in &probed {
             let worker = &mut self.workers.all[index];
             let is_waiting = worker.probe_sent.is_some_and(|at| self.now - at <= timeout);
--- a/src/net/requests/probes.rs
+++ b/src/net/requests/probes.rs
@@ -6,10 +6,6 @@
 use crate::decision::interface::{Event, Outcome};
 use crate::net::messages::{AttemptEnd, Command, Load};
 
-/// Timeout of a probe as a multiple of the settings' connect timeout: one for the connection, and
-/// the rest for the answer of a busy worker.
-const PROBE_TIMEOUT_FACTOR: f64 = 4.0;
-
 impl RequestManager {
     /// Sends a probe to a worker.
     pub(super) fn start_probe(&mut self, now: f64, worker: WorkerIndex, out: &mut Vec<Command>) {
@@ -25,7 +21,7 @@
         out.push(Command::ProbeWorker {
             attempt: id,
             worker: self.workers.address(worker),
-            timeout: PROBE_TIMEOUT_FACTOR * self.settings.dial_timeout,
+            timeout: self.settings.probe_timeout(),
         });
     }
 
