--- a/crates/coordination/src/tests.rs
+++ b/crates/coordination/src/tests.rs
@@ -12,17 +12,9 @@
 use postproxy_replicated_log::admission::AdmissionMessage;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Returns the bytes as lower-case hexadecimal digits.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Returns the bytes that the hexadecimal digits stand for.
-fn unhex(digits: &str) -> Vec<u8> {
-    let pairs = digits.as_bytes().chunks(2);
-    let byte =
-        |pair| u8::from_str_radix(std::str::from_utf8(pair).expect("digits"), 16).expect("a byte");
-    pairs.map(byte).collect()
+fn decode_hex(digits: &str) -> Vec<u8> {
+    hex::decode(digits).expect("hexadecimal digits")
 }
 
 /// A cluster ID that differs in each byte.
@@ -32,11 +24,15 @@
 
 /// Asserts that the message is encoded as the prefix and this literal, and decoded from them.
 #[track_caller]
-fn pin(message: Message, literal: &str) {
+fn assert_encoding(message: Message, literal: &str) {
     let bytes = encode(CLUSTER_ID, &message);
-    assert_eq!(hex(&bytes), PREFIX_HEX.to_owned() + literal, "{message:?}");
     assert_eq!(
-        decode(CLUSTER_ID, &unhex(&(PREFIX_HEX.to_owned() + literal))),
+        hex::encode(&bytes),
+        PREFIX_HEX.to_owned() + literal,
+        "{message:?}"
+    );
+    assert_eq!(
+        decode(CLUSTER_ID, &decode_hex(&(PREFIX_HEX.to_owned() + literal))),
         Some(message)
     );
 }
@@ -56,7 +52,7 @@
 
 #[test]
 fn admission_messages_keep_their_bytes() {
-    pin(
+    assert_encoding(
         Message::Admission {
             from: 1,
             to: 2,
@@ -64,7 +60,7 @@
         },
         "00010200",
     );
-    pin(
+    assert_encoding(
         Message::Admission {
             from: 1,
             to: 2,
@@ -72,7 +68,7 @@
         },
         "0001020103",
     );
-    pin(
+    assert_encoding(
         Message::Admission {
             from: 1,
             to: 2,
@@ -84,7 +80,7 @@
         },
         "0001020203040506",
     );
-    pin(
+    assert_encoding(
         Message::Admission {
             from: 1,
             to: 2,
@@ -92,7 +88,7 @@
         },
         "0001020307",
     );
-    pin(
+    assert_encoding(
         Message::Admission {
             from: 1,
             to: 2,
@@ -100,7 +96,7 @@
         },
         "0001020408",
     );
-    pin(
+    assert_encoding(
         Message::Admission {
             from: 1,
             to: 2,
@@ -112,39 +108,39 @@
 
 #[test]
 fn messages_keep_their_bytes() {
-    pin(
+    assert_encoding(
         Message::Log {
             incarnation: 300,
             message: vec![1, 2],
         },
         "01ac02020102",
     );
-    pin(
+    assert_encoding(
         Message::Log {
             incarnation: 0,
             message: Vec::new(),
         },
         "010000",
     );
-    pin(
+    assert_encoding(
         Message::VotersAnnounced {
             applied_index: 4,
             voters: voters(),
         },
         "02040201036e2d31ac02036e2d32",
     );
-    pin(
+    assert_encoding(
         Message::VotersAnnounced {
             applied_index: 0,
             voters: BTreeMap::new(),
         },
         "020000",
     );
-    pin(Message::PromisesLost { voter: 5 }, "0305");
+    assert_encoding(Message::PromisesLost { voter: 5 }, "0305");
     let operation = Operation::Acquire {
         lease: "d-1".into(),
     };
-    pin(
+    assert_encoding(
         Message::Call(Command {
             node: "n-1".into(),
             incarnation: 6,
@@ -153,7 +149,7 @@
         }),
         "04036e2d3106070003642d31",
     );
-    pin(
+    assert_encoding(
         Message::CallCompleted {
             incarnation: 8,
             sequence: 9,
@@ -164,7 +160,7 @@
         },
         "050809000a010b",
     );
-    pin(
+    assert_encoding(
         Message::CallCompleted {
             incarnation: 8,
             sequence: 9,
@@ -172,7 +168,7 @@
         },
         "05080902",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeRequested {
             ticket: 12,
             add: true,
@@ -180,7 +176,7 @@
         },
         "060c01036e2d33",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeRequested {
             ticket: 13,
             add: false,
@@ -188,7 +184,7 @@
         },
         "060d00036e2d34",
     );
-    pin(
+    assert_encoding(
         Message::FollowerSnapshotRequested { applied_index: 14 },
         "080e",
     );
@@ -196,42 +192,42 @@
 
 #[test]
 fn results_of_membership_changes_keep_their_bytes() {
-    pin(
+    assert_encoding(
         Message::MembershipChangeCompleted {
             ticket: 1,
             result: Ok(()),
         },
         "070100",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeCompleted {
             ticket: 1,
             result: Err(Error::NoMajority(vec!["n-1".into()])),
         },
         "0701010001036e2d31",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeCompleted {
             ticket: 1,
             result: Err(Error::NoMajority(Vec::new())),
         },
         "0701010000",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeCompleted {
             ticket: 1,
             result: Err(Error::Busy),
         },
         "07010101",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeCompleted {
             ticket: 1,
             result: Err(Error::NoVoters),
         },
         "07010102",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeCompleted {
             ticket: 1,
             result: Err(Error::Rejected(Rejection::OwnedByOther {
@@ -241,35 +237,35 @@
         },
         "0701010300036e2d3202",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeCompleted {
             ticket: 1,
             result: Err(Error::WouldLoseMajority { live: 3, total: 4 }),
         },
         "070101040304",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeCompleted {
             ticket: 1,
             result: Err(Error::VoterCount),
         },
         "07010105",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeCompleted {
             ticket: 1,
             result: Err(Error::UnknownNode),
         },
         "07010106",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeCompleted {
             ticket: 1,
             result: Err(Error::InvalidName),
         },
         "07010107",
     );
-    pin(
+    assert_encoding(
         Message::MembershipChangeCompleted {
             ticket: 1,
             result: Err(Error::NotLeader("n-3".into())),
@@ -291,7 +287,7 @@
         operation,
     });
     let leader = Some("n-2".to_owned());
-    pin(
+    assert_encoding(
         Message::FollowerSnapshot(Box::new(FollowerSnapshot {
             applied_index: 2,
             leader,
@@ -300,7 +296,7 @@
         })),
         "090201036e2d320201036e2d31ac02036e2d320103642d3101036e2d3101010000000101036e2d3106070001000101",
     );
-    pin(
+    assert_encoding(
         Message::FollowerSnapshot(Box::default()),
         "0900000000000000",
     );
@@ -308,8 +304,9 @@
 
 #[test]
 fn reasons_not_to_vote_keep_their_bytes() {
-    let bytes =
-        |reason: &NotVotingReason| hex(&postcard::to_stdvec(reason).expect("an encoded reason"));
+    let bytes = |reason: &NotVotingReason| {
+        hex::encode(postcard::to_stdvec(reason).expect("an encoded reason"))
+    };
     assert_eq!(bytes(&NotVotingReason::NotAVoter), "00");
     assert_eq!(bytes(&NotVotingReason::AwaitingAdmission), "01");
     assert_eq!(bytes(&NotVotingReason::PromisesLost), "02");
@@ -320,13 +317,13 @@
 #[test]
 fn foreign_and_damaged_messages_are_not_decoded() {
     let valid = PREFIX_HEX.to_owned() + "080e";
-    let decoded = |digits: &str| decode(CLUSTER_ID, &unhex(digits));
+    let decoded = |digits: &str| decode(CLUSTER_ID, &decode_hex(digits));
     assert_eq!(
         decoded(&valid),
         Some(Message::FollowerSnapshotRequested { applied_index: 14 })
     );
     assert_eq!(
-        decode(CLUSTER_ID + 1, &unhex(&valid)),
+        decode(CLUSTER_ID + 1, &decode_hex(&valid)),
         None,
         "another cluster"
     );
@@ -346,7 +343,7 @@
         None,
         "a variant that does not exist"
     );
-    let bytes = unhex(&valid);
+    let bytes = decode_hex(&valid);
     assert!(
         (0..bytes.len()).all(|size| decode(CLUSTER_ID, &bytes[..size]).is_none()),
         "a truncated message"
@@ -357,7 +354,7 @@
 fn written_at_start(name: &str, stored: &[(&[u8], &str)]) -> Vec<String> {
     let stored = stored
         .iter()
-        .map(|(key, value)| (key.to_vec(), unhex(value)))
+        .map(|(key, value)| (key.to_vec(), decode_hex(value)))
         .collect();
     let mut out = Vec::new();
     Replica::new(name, 9, voters(), stored, &mut out);
@@ -365,7 +362,7 @@
         format!(
             "{} {}",
             String::from_utf8_lossy(&key),
-            value.map_or("none".into(), |value| hex(&value))
+            value.map_or("none".into(), |value| hex::encode(&value))
         )
     };
     out.into_iter()
@@ -390,7 +387,7 @@
         "a node that is not a voter stores no ID"
     );
     let mut out = Vec::new();
-    let stored = |value| BTreeMap::from([(b"c/seat".to_vec(), unhex(value))]);
+    let stored = |value| BTreeMap::from([(b"c/seat".to_vec(), decode_hex(value))]);
     assert_eq!(
         Replica::new("n-3", 9, voters(), stored("ad0200"), &mut out).id(),
         301
@@ -420,7 +417,7 @@
     let mut state_machine = LeaseStateMachine::default();
     postproxy_replicated_log::StateMachine::apply(
         &mut state_machine,
-        &unhex("036e2d3106070003642d31"),
+        &decode_hex("036e2d3106070003642d31"),
     );
     assert_eq!(state_machine.0, state);
 }
--- a/crates/handover/tests/surface_bytes.rs
+++ b/crates/handover/tests/surface_bytes.rs
@@ -8,17 +8,9 @@
     VERSION, frame, greeting,
 };
 
-/// Encodes bytes as lower-case hexadecimal digits.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Decodes hexadecimal digits.
-fn unhex(digits: &str) -> Vec<u8> {
-    let pairs = digits.as_bytes().chunks(2);
-    let byte =
-        |pair| u8::from_str_radix(std::str::from_utf8(pair).expect("digits"), 16).expect("a byte");
-    pairs.map(byte).collect()
+fn decode_hex(digits: &str) -> Vec<u8> {
+    hex::decode(digits).expect("hexadecimal digits")
 }
 
 /// Asserts that the message is encoded as this literal, that its frame is the length and the
@@ -26,13 +18,17 @@
 #[track_caller]
 fn assert_encoding(message: Message, literal: &str) {
     let bytes = postcard::to_stdvec(&message).expect("an encoded message");
-    assert_eq!(hex(&bytes), literal, "{message:?}");
+    assert_eq!(hex::encode(&bytes), literal, "{message:?}");
     assert_eq!(
-        postcard::from_bytes::<Message>(&unhex(literal)).expect("a message"),
+        postcard::from_bytes::<Message>(&decode_hex(literal)).expect("a message"),
         message
     );
     let length = format!("{:08x}", literal.len() / 2);
-    assert_eq!(hex(&frame(&message)), length + literal, "{message:?}");
+    assert_eq!(
+        hex::encode(frame(&message)),
+        length + literal,
+        "{message:?}"
+    );
 }
 
 #[test]
@@ -40,7 +36,7 @@
     assert_eq!(GREETING_MAGIC, b"ppho\r\n");
     assert_eq!(VERSION, 1);
     assert_eq!(MAX_FRAME_BYTES, 8_388_608);
-    assert_eq!(hex(&greeting()), "7070686f0d0a0001");
+    assert_eq!(hex::encode(greeting()), "7070686f0d0a0001");
 }
 
 #[test]
@@ -238,7 +234,7 @@
 #[track_caller]
 fn receive_error(digits: &str) -> LinkError {
     link(Role::Newer)
-        .receive(&unhex(digits), &mut Vec::new())
+        .receive(&decode_hex(digits), &mut Vec::new())
         .expect_err("an error")
 }
 
@@ -404,13 +400,13 @@
         .iter()
         .flat_map(frame)
         .collect::<Vec<u8>>();
-    assert_eq!(hex(&[greeting(), frames].concat()), RECORDED);
+    assert_eq!(hex::encode([greeting(), frames].concat()), RECORDED);
 }
 
 /// The bytes are received in pieces of every size.
 #[test]
 fn newer_process_decodes_the_recorded_bytes() {
-    let recorded = unhex(RECORDED);
+    let recorded = decode_hex(RECORDED);
     let sent = older_process_messages()
         .into_iter()
         .filter_map(|message| match message {
@@ -481,15 +477,15 @@
 fn newer_process_writes_the_same_bytes() {
     let mut link = link(Role::Newer);
     assert_eq!(
-        hex(&frame(&link.hello())),
+        hex::encode(frame(&link.hello())),
         "0000001400036e2d310e3132372e302e302e313a37303730"
     );
     assert_eq!(
-        hex(&frame(&link.forward_callback(0.0, 9, vec![10]))),
+        hex::encode(frame(&link.forward_callback(0.0, 9, vec![10]))),
         "000000040401010a"
     );
     assert_eq!(
-        hex(&frame(&link.forward_callback(0.0, 9, vec![11]))),
+        hex::encode(frame(&link.forward_callback(0.0, 9, vec![11]))),
         "000000040402010b",
         "callbacks are numbered from 1"
     );
--- a/crates/idempotency/tests/surface_bytes.rs
+++ b/crates/idempotency/tests/surface_bytes.rs
@@ -7,17 +7,9 @@
     Stage, Write, request_id, request_key, result_key,
 };
 
-/// Encodes bytes as lower-case hexadecimal digits.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Decodes hexadecimal digits.
-fn unhex(digits: &str) -> Vec<u8> {
-    let pairs = digits.as_bytes().chunks(2);
-    let byte =
-        |pair| u8::from_str_radix(std::str::from_utf8(pair).expect("digits"), 16).expect("a byte");
-    pairs.map(byte).collect()
+fn decode_hex(digits: &str) -> Vec<u8> {
+    hex::decode(digits).expect("hexadecimal digits")
 }
 
 /// Asserts that the record is encoded as this literal, and that the literal is decoded as the
@@ -25,8 +17,8 @@
 #[track_caller]
 fn assert_encoding(record: RequestRecord, literal: &str) {
     let bytes = record.encode();
-    assert_eq!(hex(&bytes), literal, "{record:?}");
-    assert_eq!(RequestRecord::decode(&unhex(literal)), Some(record));
+    assert_eq!(hex::encode(&bytes), literal, "{record:?}");
+    assert_eq!(RequestRecord::decode(&decode_hex(literal)), Some(record));
 }
 
 /// Returns a record in this stage, with these attempts.
@@ -152,7 +144,7 @@
             format!(
                 "put {} {} {expires_at_ms}",
                 String::from_utf8_lossy(key),
-                hex(value)
+                hex::encode(value)
             )
         }
         Write::Delete { key } => format!("delete {}", String::from_utf8_lossy(key)),
--- a/crates/leases/tests/surface_bytes.rs
+++ b/crates/leases/tests/surface_bytes.rs
@@ -10,26 +10,18 @@
 use serde::{Serialize, de::DeserializeOwned};
 use std::fmt::Debug;
 
-/// Returns the bytes as lower-case hexadecimal digits.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Returns the bytes that the hexadecimal digits stand for.
-fn unhex(digits: &str) -> Vec<u8> {
-    let pairs = digits.as_bytes().chunks(2);
-    let byte =
-        |pair| u8::from_str_radix(std::str::from_utf8(pair).expect("digits"), 16).expect("a byte");
-    pairs.map(byte).collect()
+fn decode_hex(digits: &str) -> Vec<u8> {
+    hex::decode(digits).expect("hexadecimal digits")
 }
 
 /// Asserts that the value is encoded as this literal, and decoded from it.
 #[track_caller]
-fn pin<T: Debug + DeserializeOwned + PartialEq + Serialize>(value: T, literal: &str) {
+fn assert_encoding<T: Debug + DeserializeOwned + PartialEq + Serialize>(value: T, literal: &str) {
     let bytes = postcard::to_stdvec(&value).expect("an encoded value");
-    assert_eq!(hex(&bytes), literal, "{value:?}");
+    assert_eq!(hex::encode(&bytes), literal, "{value:?}");
     assert_eq!(
-        postcard::from_bytes::<T>(&unhex(literal)).expect("a value"),
+        postcard::from_bytes::<T>(&decode_hex(literal)).expect("a value"),
         value
     );
 }
@@ -52,27 +44,27 @@
 
 #[test]
 fn operations_keep_their_bytes() {
-    pin(
+    assert_encoding(
         Operation::Acquire {
             lease: "d-1".into(),
         },
         "0003642d31",
     );
-    pin(
+    assert_encoding(
         Operation::Renew {
             claims: vec![claim("d-2", 300), claim("d-3", 4)],
         },
         "010203642d32ac0203642d3304",
     );
-    pin(Operation::Renew { claims: Vec::new() }, "0100");
-    pin(
+    assert_encoding(Operation::Renew { claims: Vec::new() }, "0100");
+    assert_encoding(
         Operation::Release {
             lease: "d-4".into(),
             token: 5,
         },
         "0203642d3405",
     );
-    pin(
+    assert_encoding(
         Operation::Transfer {
             lease: "d-5".into(),
             token: Some(6),
@@ -80,7 +72,7 @@
         },
         "0303642d350106036e2d32",
     );
-    pin(
+    assert_encoding(
         Operation::Transfer {
             lease: "d-5".into(),
             token: None,
@@ -88,7 +80,7 @@
         },
         "0303642d3500036e2d32",
     );
-    pin(
+    assert_encoding(
         Operation::Save {
             lease: "d-6".into(),
             token: 7,
@@ -96,7 +88,7 @@
         },
         "0403642d3607020809",
     );
-    pin(
+    assert_encoding(
         Operation::Save {
             lease: "d-6".into(),
             token: 7,
@@ -104,7 +96,7 @@
         },
         "0403642d360700",
     );
-    pin(
+    assert_encoding(
         Operation::Expire {
             leases: vec![ExpiredLease {
                 lease: "d-7".into(),
@@ -114,7 +106,7 @@
         },
         "050103642d370a0b",
     );
-    pin(Operation::Expire { leases: Vec::new() }, "0500");
+    assert_encoding(Operation::Expire { leases: Vec::new() }, "0500");
 }
 
 #[test]
@@ -122,7 +114,7 @@
     let call = Operation::Acquire {
         lease: "d-1".into(),
     };
-    pin(
+    assert_encoding(
         Command {
             node: "n-1".into(),
             incarnation: u64::MAX,
@@ -132,7 +124,7 @@
         "036e2d31ffffffffffffffffff01020003642d31",
     );
     let call = Operation::Renew { claims: Vec::new() };
-    pin(
+    assert_encoding(
         Command {
             node: String::new(),
             incarnation: 0,
@@ -145,14 +137,14 @@
 
 #[test]
 fn responses_keep_their_bytes() {
-    pin(
+    assert_encoding(
         Response::Granted {
             token: 300,
             value: vec![1, 2],
         },
         "00ac02020102",
     );
-    pin(
+    assert_encoding(
         Response::Granted {
             token: 1,
             value: Vec::new(),
@@ -169,37 +161,37 @@
             next_owner: None,
         },
     ];
-    pin(
+    assert_encoding(
         Response::Renewed {
             renewed,
             lost: vec!["d-3".into()],
         },
         "010203642d3101036e2d3203642d32000103642d33",
     );
-    pin(
+    assert_encoding(
         Response::Renewed {
             renewed: Vec::new(),
             lost: Vec::new(),
         },
         "010000",
     );
-    pin(Response::Completed, "02");
-    pin(
+    assert_encoding(Response::Completed, "02");
+    assert_encoding(
         Response::Rejected(Rejection::OwnedByOther {
             owner: "n-3".into(),
             token: 4,
         }),
         "0300036e2d3304",
     );
-    pin(
+    assert_encoding(
         Response::Rejected(Rejection::StaleToken(Some(5))),
         "03010105",
     );
-    pin(Response::Rejected(Rejection::StaleToken(None)), "030100");
-    pin(Response::Rejected(Rejection::UnknownLease), "0302");
-    pin(Response::Rejected(Rejection::Malformed), "0303");
-    pin(Response::Rejected(Rejection::TooManyLeases), "0304");
-    pin(Response::Rejected(Rejection::SupersededCommand), "0305");
+    assert_encoding(Response::Rejected(Rejection::StaleToken(None)), "030100");
+    assert_encoding(Response::Rejected(Rejection::UnknownLease), "0302");
+    assert_encoding(Response::Rejected(Rejection::Malformed), "0303");
+    assert_encoding(Response::Rejected(Rejection::TooManyLeases), "0304");
+    assert_encoding(Response::Rejected(Rejection::SupersededCommand), "0305");
 }
 
 #[test]
@@ -208,7 +200,7 @@
         node: "n-1".into(),
         token: 2,
     };
-    pin(
+    assert_encoding(
         Lease {
             owner: Some(owner),
             renewals: 3,
@@ -218,7 +210,7 @@
         },
         "01036e2d31020301036e2d3202040506",
     );
-    pin(Lease::default(), "0000000000");
+    assert_encoding(Lease::default(), "0000000000");
 }
 
 /// Returns a table with two leases, one of them without an owner, and two clients.
@@ -292,22 +284,22 @@
 
 #[test]
 fn table_keeps_its_bytes() {
-    pin(
+    assert_encoding(
         table(),
         "0205617564697401036e2d31010201036e2d3202aabb01056f7468657200010000000202036e2d311103010105617564697401036e2d320006036e2d321203020506",
     );
-    pin(LeaseTable::default(), "00000000");
+    assert_encoding(LeaseTable::default(), "00000000");
 }
 
 #[test]
 fn fences_and_effects_keep_their_bytes() {
     let mut fence = Fence::default();
-    pin(fence.clone(), "0000");
+    assert_encoding(fence.clone(), "0000");
     fence.observe("d-1", 5).expect("a first token");
     fence.observe("d-2", 300).expect("a first token");
     fence.observe("d-1", 4).expect_err("a stale token");
-    pin(fence, "0203642d310503642d32ac0201");
-    pin(
+    assert_encoding(fence, "0203642d310503642d32ac0201");
+    assert_encoding(
         StaleToken {
             lease: "d-1".into(),
             token: 2,
@@ -316,7 +308,7 @@
         "03642d310203",
     );
     // An effect cannot be created without a permit, but it can be decoded: lease, token, payload.
-    let read: Effect<u8> = postcard::from_bytes(&unhex("03642d310509")).expect("an effect");
+    let read: Effect<u8> = postcard::from_bytes(&decode_hex("03642d310509")).expect("an effect");
     assert_eq!((read.lease(), read.token()), ("d-1", 5));
-    pin(read, "03642d310509");
+    assert_encoding(read, "03642d310509");
 }
--- a/crates/membership/src/membership/tests.rs
+++ b/crates/membership/src/membership/tests.rs
@@ -6,7 +6,7 @@
 
 /// Asserts that the message is encoded as this literal, and decoded from it.
 #[track_caller]
-fn pin(message: GossipMessage, literal: &[u8]) {
+fn assert_encoding(message: GossipMessage, literal: &[u8]) {
     assert_eq!(
         postcard::to_stdvec(&message).expect("an encoded message"),
         literal,
@@ -26,17 +26,17 @@
         sequence: 515,
         unreachable: vec!["n-2".into(), "n-3".into()],
     };
-    pin(report, b"\x00\x03n-1\xac\x02\x83\x04\x02\x03n-2\x03n-3");
+    assert_encoding(report, b"\x00\x03n-1\xac\x02\x83\x04\x02\x03n-2\x03n-3");
     let empty_report = GossipMessage::ReachabilityReport {
         name: "n-1".into(),
         process_nonce: 1,
         sequence: 2,
         unreachable: Vec::new(),
     };
-    pin(empty_report, b"\x00\x03n-1\x01\x02\x00");
+    assert_encoding(empty_report, b"\x00\x03n-1\x01\x02\x00");
     let left = GossipMessage::Left {
         name: "n-4".into(),
         process_nonce: u64::MAX,
     };
-    pin(left, b"\x01\x03n-4\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01");
+    assert_encoding(left, b"\x01\x03n-4\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01");
 }
--- a/crates/membership/tests/surface_bytes.rs
+++ b/crates/membership/tests/surface_bytes.rs
@@ -11,17 +11,9 @@
 };
 use std::net::SocketAddr;
 
-/// Returns the bytes as lower-case hexadecimal digits.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Returns the bytes that the hexadecimal digits stand for.
-fn unhex(digits: &str) -> Vec<u8> {
-    let pairs = digits.as_bytes().chunks(2);
-    let byte =
-        |pair| u8::from_str_radix(std::str::from_utf8(pair).expect("digits"), 16).expect("a byte");
-    pairs.map(byte).collect()
+fn decode_hex(digits: &str) -> Vec<u8> {
+    hex::decode(digits).expect("hexadecimal digits")
 }
 
 /// The sender of all datagrams here.
@@ -41,12 +33,12 @@
 /// Asserts that the message is encoded as this literal, that its datagram consists of the envelope,
 /// the sender and this literal, and that the datagram is decoded to the message.
 #[track_caller]
-fn pin(message: Message, literal: &str) {
+fn assert_encoding(message: Message, literal: &str) {
     let bytes = postcard::to_stdvec(&message).expect("an encoded message");
-    assert_eq!(hex(&bytes), literal, "{message:?}");
+    assert_eq!(hex::encode(&bytes), literal, "{message:?}");
     let datagram = encode(0x0102_0304, &sender(), &message);
     assert_eq!(
-        hex(&datagram[..7]),
+        hex::encode(&datagram[..7]),
         "504d0104030201",
         "the magic PM, the version, the cluster number"
     );
@@ -55,11 +47,11 @@
         crc32fast::hash(&datagram[11..]).to_le_bytes(),
         "the checksum"
     );
-    assert_eq!(hex(&datagram[11..]), SENDER.to_owned() + literal);
-    let sum = crc32fast::hash(&unhex(&(SENDER.to_owned() + literal))).to_le_bytes();
-    let literal = ["504d0104030201", &hex(&sum), SENDER, literal].concat();
+    assert_eq!(hex::encode(&datagram[11..]), SENDER.to_owned() + literal);
+    let sum = crc32fast::hash(&decode_hex(&(SENDER.to_owned() + literal))).to_le_bytes();
+    let literal = ["504d0104030201", &hex::encode(sum), SENDER, literal].concat();
     assert_eq!(
-        decode(0x0102_0304, &unhex(&literal)),
+        decode(0x0102_0304, &decode_hex(&literal)),
         Ok((sender(), message))
     );
 }
@@ -82,70 +74,70 @@
         worker: worker.into(),
         suspension,
     };
-    pin(Message::Swim(vec![1, 2, 255]), "00030102ff");
-    pin(Message::Swim(Vec::new()), "0000");
-    pin(
+    assert_encoding(Message::Swim(vec![1, 2, 255]), "00030102ff");
+    assert_encoding(Message::Swim(Vec::new()), "0000");
+    assert_encoding(
         Message::Heartbeat {
             sequence: 300,
             digest: 0x0102_0304_0506_0708,
         },
         "01ac02888e98a8c0e0808101",
     );
-    pin(Message::NameQuery, "02");
-    pin(
+    assert_encoding(Message::NameQuery, "02");
+    assert_encoding(
         Message::NameHolder(Some(sender())),
         "0301036e2d31007f0000019e37ac02ffffffffffffffffff01",
     );
-    pin(Message::NameHolder(None), "0300");
-    pin(Message::LivenessChallenge(4), "0404");
-    pin(Message::LivenessResponse(5), "0505");
-    pin(
+    assert_encoding(Message::NameHolder(None), "0300");
+    assert_encoding(Message::LivenessChallenge(4), "0404");
+    assert_encoding(Message::LivenessResponse(5), "0505");
+    assert_encoding(
         Message::Suspicion {
             process_nonce: 6,
             swim_incarnation: 515,
         },
         "06068304",
     );
-    pin(Message::Leaving, "07");
-    pin(
+    assert_encoding(Message::Leaving, "07");
+    assert_encoding(
         Message::Suspensions {
             suspensions: vec![of_worker("w-1")],
             reply_wanted: true,
         },
         "080103772d31ad02020101",
     );
-    pin(
+    assert_encoding(
         Message::Suspensions {
             suspensions: Vec::new(),
             reply_wanted: false,
         },
         "080000",
     );
-    pin(Message::SuspensionAcknowledged(7), "0907");
-    pin(
+    assert_encoding(Message::SuspensionAcknowledged(7), "0907");
+    assert_encoding(
         Message::RecordSuspensions {
             ticket: 8,
             suspensions: vec![of_worker("w-2")],
         },
         "0a080103772d32ad020201",
     );
-    pin(
+    assert_encoding(
         Message::RecordSuspensions {
             ticket: 9,
             suspensions: Vec::new(),
         },
         "0a0900",
     );
-    pin(
+    assert_encoding(
         Message::Forgotten(vec![ForgottenNode {
             name: "n-2".into(),
             up_to_incarnation: 10,
         }]),
         "0b01036e2d320a",
     );
-    pin(Message::Forgotten(Vec::new()), "0b00");
-    pin(Message::Application(vec![11, 12]), "0c020b0c");
-    pin(Message::Application(Vec::new()), "0c00");
+    assert_encoding(Message::Forgotten(Vec::new()), "0b00");
+    assert_encoding(Message::Application(vec![11, 12]), "0c020b0c");
+    assert_encoding(Message::Application(Vec::new()), "0c00");
 }
 
 /// A whole datagram, with [`Message::NameQuery`].
@@ -154,18 +146,18 @@
 #[test]
 fn whole_datagram_keeps_its_bytes() {
     assert_eq!(
-        hex(&encode(0x0102_0304, &sender(), &Message::NameQuery)),
+        hex::encode(encode(0x0102_0304, &sender(), &Message::NameQuery)),
         DATAGRAM
     );
     assert_eq!(
-        decode(0x0102_0304, &unhex(DATAGRAM)),
+        decode(0x0102_0304, &decode_hex(DATAGRAM)),
         Ok((sender(), Message::NameQuery))
     );
 }
 
 #[test]
 fn foreign_and_damaged_datagrams_keep_their_errors() {
-    let valid = unhex(DATAGRAM);
+    let valid = decode_hex(DATAGRAM);
     let changed = |at: usize| {
         let mut bytes = valid.clone();
         bytes[at] ^= 1;
@@ -182,11 +174,11 @@
     // Valid checksums, but invalid content: an unknown kind of message, an extra byte, a sender
     // without a name.
     let decode_content = |content: &str| {
-        let content = unhex(content);
+        let content = decode_hex(content);
         let sum = crc32fast::hash(&content).to_le_bytes();
         decode(
             0x0102_0304,
-            &[&unhex("504d0104030201"), &sum[..], &content].concat(),
+            &[&decode_hex("504d0104030201"), &sum[..], &content].concat(),
         )
     };
     assert_eq!(
@@ -216,11 +208,11 @@
     };
     let literal = "036e2d3101000000000000000000000000000000019e37ac02ffffffffffffffffff01";
     assert_eq!(
-        hex(&postcard::to_stdvec(&identity).expect("an encoded identity")),
+        hex::encode(postcard::to_stdvec(&identity).expect("an encoded identity")),
         literal
     );
     assert_eq!(
-        postcard::from_bytes::<Identity>(&unhex(literal)),
+        postcard::from_bytes::<Identity>(&decode_hex(literal)),
         Ok(identity)
     );
 }
@@ -262,11 +254,11 @@
     }];
     let literal = "0103772d31ad020201";
     assert_eq!(
-        hex(&postcard::to_stdvec(&suspensions).expect("encoded suspensions")),
+        hex::encode(postcard::to_stdvec(&suspensions).expect("encoded suspensions")),
         literal
     );
     assert_eq!(
-        postcard::from_bytes::<Vec<WorkerSuspension>>(&unhex(literal)),
+        postcard::from_bytes::<Vec<WorkerSuspension>>(&decode_hex(literal)),
         Ok(suspensions)
     );
 }
--- a/crates/replicated-log/tests/surface_bytes.rs
+++ b/crates/replicated-log/tests/surface_bytes.rs
@@ -12,35 +12,27 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Returns the bytes as lower-case hexadecimal digits.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Returns the bytes that the hexadecimal digits stand for.
-fn unhex(digits: &str) -> Vec<u8> {
-    let pairs = digits.as_bytes().chunks(2);
-    let byte =
-        |pair| u8::from_str_radix(std::str::from_utf8(pair).expect("digits"), 16).expect("a byte");
-    pairs.map(byte).collect()
+fn decode_hex(digits: &str) -> Vec<u8> {
+    hex::decode(digits).expect("hexadecimal digits")
 }
 
 /// Asserts that the message is encoded as this literal, and decoded from it.
 #[track_caller]
-fn pin(message: AdmissionMessage, literal: &str) {
+fn assert_encoding(message: AdmissionMessage, literal: &str) {
     let bytes = postcard::to_stdvec(&message).expect("an encoded message");
-    assert_eq!(hex(&bytes), literal, "{message:?}");
+    assert_eq!(hex::encode(&bytes), literal, "{message:?}");
     assert_eq!(
-        postcard::from_bytes::<AdmissionMessage>(&unhex(literal)).expect("a message"),
+        postcard::from_bytes::<AdmissionMessage>(&decode_hex(literal)).expect("a message"),
         message
     );
 }
 
 #[test]
 fn admission_messages_keep_their_bytes() {
-    pin(AdmissionMessage::QueryLatestStart, "00");
-    pin(AdmissionMessage::LatestStart(300), "01ac02");
-    pin(
+    assert_encoding(AdmissionMessage::QueryLatestStart, "00");
+    assert_encoding(AdmissionMessage::LatestStart(300), "01ac02");
+    assert_encoding(
         AdmissionMessage::StartAnnounced {
             start: 1,
             incarnation: 2,
@@ -48,9 +40,9 @@
         },
         "0201020304",
     );
-    pin(AdmissionMessage::StartConfirmed(5), "0305");
-    pin(AdmissionMessage::StartOutdated(6), "0406");
-    pin(AdmissionMessage::AnnounceAgain, "05");
+    assert_encoding(AdmissionMessage::StartConfirmed(5), "0305");
+    assert_encoding(AdmissionMessage::StartOutdated(6), "0406");
+    assert_encoding(AdmissionMessage::AnnounceAgain, "05");
 }
 
 /// A state machine that counts the entries and keeps the last one.
@@ -76,8 +68,12 @@
             .take_while(|byte| byte.is_ascii_graphic())
             .count();
         let (text, number) = key.split_at(text);
-        let value = value.as_ref().map_or("none".to_owned(), |value| hex(value));
-        format!("{} {} {value}", String::from_utf8_lossy(text), hex(number))
+        let value = value.as_ref().map_or("none".to_owned(), hex::encode);
+        format!(
+            "{} {} {value}",
+            String::from_utf8_lossy(text),
+            hex::encode(number)
+        )
     };
     changes.iter().map(shown).collect()
 }
@@ -119,10 +115,10 @@
 #[test]
 fn stored_start_and_known_starts_are_read() {
     let stored = [
-        (b"s/start".to_vec(), unhex("0000000000000005")),
+        (b"s/start".to_vec(), decode_hex("0000000000000005")),
         (
-            unhex("732f6b6e6f776e2f0000000000000002"),
-            unhex("0000000000000003000000000000012c"),
+            decode_hex("732f6b6e6f776e2f0000000000000002"),
+            decode_hex("0000000000000003000000000000012c"),
         ),
     ];
     let mut admission = Admission::new(1, 7, &[1, 2], LogEnd { term: 8, index: 9 }, stored);
@@ -135,7 +131,7 @@
             number: 1,
             changes: vec![StorageChange {
                 key: b"s/start".to_vec(),
-                value: Some(unhex("0000000000000006"))
+                value: Some(decode_hex("0000000000000006"))
             }]
         }]
     );
@@ -204,7 +200,7 @@
                 }
                 Output::Send { to, message } => {
                     self.record
-                        .push(format!("{id} sends {to} {}", hex(&message)));
+                        .push(format!("{id} sends {to} {}", hex::encode(&message)));
                     if self.voters.contains_key(&to) {
                         self.act(to, |voter, out| {
                             assert!(voter.receive(&message, out), "a valid message")
@@ -213,7 +209,7 @@
                 }
                 Output::Committed { number, entry } => self
                     .record
-                    .push(format!("{id} decides {number} {}", hex(&entry))),
+                    .push(format!("{id} decides {number} {}", hex::encode(&entry))),
                 Output::SnapshotInstalled { .. } | Output::VotersChanged => {}
             }
         }
@@ -286,7 +282,7 @@
     });
     let actual = pair.stores[&1]
         .iter()
-        .map(|(key, value)| (hex(key), hex(value)));
+        .map(|(key, value)| (hex::encode(key), hex::encode(value)));
     let stored = STORED
         .iter()
         .map(|(key, value)| (key.to_string(), value.to_string()));
@@ -310,7 +306,7 @@
 fn stored_log_is_read() {
     let stored: Vec<(Vec<u8>, Vec<u8>)> = STORED
         .iter()
-        .map(|(key, value)| (unhex(key), unhex(value)))
+        .map(|(key, value)| (decode_hex(key), decode_hex(value)))
         .collect();
     assert_eq!(
         stored_log_end(stored.iter().map(|(key, value)| (key, value))),
@@ -338,9 +334,11 @@
 #[test]
 fn corrupt_stored_log_is_rejected() {
     let error_with = |key: &str, value: &str| {
-        let valid = STORED.iter().map(|(key, value)| (unhex(key), unhex(value)));
+        let valid = STORED
+            .iter()
+            .map(|(key, value)| (decode_hex(key), decode_hex(value)));
         let corrupt: BTreeMap<_, _> = valid
-            .chain([(key.as_bytes().to_vec(), unhex(value))])
+            .chain([(key.as_bytes().to_vec(), decode_hex(value))])
             .collect();
         Voter::<LastEntry>::new(1, &BTreeMap::new(), corrupt)
             .err()
@@ -367,7 +365,7 @@
 
 #[test]
 fn promises_are_read_from_recorded_messages() {
-    let promise = |digits: &str| message_promise(&unhex(digits));
+    let promise = |digits: &str| message_promise(&decode_hex(digits));
     let expected = |voter, term, index| MessagePromise { voter, term, index };
     // Bytes that are no message, a pre-vote request, a vote request, an append, and the response to
     // an append.
@@ -400,14 +398,14 @@
     let store = &pair.stores[&1];
     let snapshot = store.get(&b"a/folded"[..]).expect("a stored state");
     assert_eq!(
-        hex(snapshot),
+        hex::encode(snapshot),
         "c104028104020408010802bf0402023ebf040201036e2d3102036e2d3202"
     );
     let (first, _) = store
         .range(b"a/l/".to_vec()..)
         .next()
         .expect("a stored entry");
-    assert_eq!(hex(first), "612f6c2f0000000000000202");
+    assert_eq!(hex::encode(first), "612f6c2f0000000000000202");
     let (added, out) = Voter::new(3, &BTreeMap::new(), []).expect("an added voter");
     pair.voters.insert(3, added);
     pair.handle(3, out);
--- a/crates/store/tests/surface_bytes.rs
+++ b/crates/store/tests/surface_bytes.rs
@@ -7,36 +7,26 @@
 use postproxy_store::sim::{Faults, SimDisk};
 use postproxy_store::{Batch, Change, Disk, Engine, OpenError, Options, OsDisk, Recovery};
 
-/// Returns the bytes as lower-case hexadecimal digits.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Decodes hexadecimal digits.
-fn unhex(digits: &str) -> Vec<u8> {
-    let pairs = digits.as_bytes().chunks(2);
-    let byte = |pair| {
-        u8::from_str_radix(std::str::from_utf8(pair).expect("ASCII digits"), 16)
-            .expect("two hexadecimal digits")
-    };
-    pairs.map(byte).collect()
+fn decode_hex(digits: &str) -> Vec<u8> {
+    hex::decode(digits).expect("hexadecimal digits")
 }
 
 /// Asserts that the change is encoded as this literal and decoded from it.
 #[track_caller]
-fn pin(change: Change<'_>, literal: &str) {
+fn assert_encoding(change: Change<'_>, literal: &str) {
     let mut bytes = Vec::new();
     change.encode(&mut bytes);
-    assert_eq!(hex(&bytes), literal, "{change:?}");
+    assert_eq!(hex::encode(&bytes), literal, "{change:?}");
     assert_eq!(
-        Change::decode(&unhex(literal)),
+        Change::decode(&decode_hex(literal)),
         Some((change, literal.len() / 2))
     );
 }
 
 #[test]
 fn changes_keep_their_bytes() {
-    pin(
+    assert_encoding(
         Change::Put {
             key: b"j/a",
             value: b"value",
@@ -44,7 +34,7 @@
         },
         "0103000500000008070605040302016a2f6176616c7565",
     );
-    pin(
+    assert_encoding(
         Change::Put {
             key: b"",
             value: b"",
@@ -52,9 +42,9 @@
         },
         "010000000000000000000000000000",
     );
-    pin(Change::Delete { key: b"r/bc" }, "020400722f6263");
-    pin(Change::Delete { key: b"" }, "020000");
-    pin(
+    assert_encoding(Change::Delete { key: b"r/bc" }, "020400722f6263");
+    assert_encoding(Change::Delete { key: b"" }, "020000");
+    assert_encoding(
         Change::OldestSegment {
             segment: 0x1112_1314_1516_1718,
         },
@@ -93,9 +83,9 @@
 
 #[test]
 fn segment_header_keeps_its_bytes() {
-    assert_eq!(hex(&HEADER.encode()), HEADER_BYTES);
-    assert_eq!(Header::decode(&unhex(HEADER_BYTES)), Ok(HEADER));
-    assert!(unhex(HEADER_BYTES).starts_with(b"PPXSTORE\x01\0\0\0"));
+    assert_eq!(hex::encode(HEADER.encode()), HEADER_BYTES);
+    assert_eq!(Header::decode(&decode_hex(HEADER_BYTES)), Ok(HEADER));
+    assert!(decode_hex(HEADER_BYTES).starts_with(b"PPXSTORE\x01\0\0\0"));
 }
 
 #[test]
@@ -103,10 +93,10 @@
     // The same header with format version 2 and a matching checksum.
     let newer = "50505853544f5245020000004d9aa4b1080706050403020118171615141312112827262524232221383736353433323148474645444342410000000000000000";
     assert_eq!(
-        Header::decode(&unhex(newer)),
+        Header::decode(&decode_hex(newer)),
         Err(HeaderError::UnsupportedVersion(2))
     );
-    let mut wrong_magic = unhex(HEADER_BYTES);
+    let mut wrong_magic = decode_hex(HEADER_BYTES);
     wrong_magic[0] = b'Q';
     assert_eq!(Header::decode(&wrong_magic), Err(HeaderError::Damaged));
 }
@@ -128,8 +118,8 @@
     frame::encode(9, 0x0203, 0x0201, &mut bytes, |out| {
         changes.iter().for_each(|c| c.encode(out))
     });
-    assert_eq!(hex(&bytes), FRAME_BYTES);
-    let read = unhex(FRAME_BYTES);
+    assert_eq!(hex::encode(&bytes), FRAME_BYTES);
+    let read = decode_hex(FRAME_BYTES);
     let read = Frame::decode(9, &read, 0).expect("decode the frame");
     assert_eq!((read.seq, read.durable_seq), (0x0203, 0x0201));
     assert!(
@@ -138,7 +128,7 @@
             .eq(changes)
     );
     assert_eq!(
-        Frame::decode(8, &unhex(FRAME_BYTES), 0),
+        Frame::decode(8, &decode_hex(FRAME_BYTES), 0),
         None,
         "the checksum covers the segment's number"
     );
@@ -202,7 +192,7 @@
     let names = disk.list().expect("list the files");
     let files: Vec<(String, String)> = names
         .into_iter()
-        .map(|name| (name.clone(), hex(&disk.content(&name))))
+        .map(|name| (name.clone(), hex::encode(disk.content(&name))))
         .collect();
     let recorded = |(name, content): &(&str, &str)| (name.to_string(), content.to_string());
     assert_eq!(files, FILES.iter().map(recorded).collect::<Vec<_>>());
@@ -212,7 +202,7 @@
 fn engine_reads_the_recorded_files() {
     let disk = SimDisk::new(Faults::default(), 1);
     for (name, content) in FILES {
-        disk.set_content(name, Some(unhex(content)));
+        disk.set_content(name, Some(decode_hex(content)));
     }
     let (mut engine, _) = open(&disk).expect("open the store");
     assert_eq!(engine.statistics().live_keys, 3);
--- a/crates/streams/tests/surface_bytes.rs
+++ b/crates/streams/tests/surface_bytes.rs
@@ -7,30 +7,20 @@
     Streams, encode_frame,
 };
 
-/// Returns the bytes as lower-case hexadecimal digits.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Decodes hexadecimal digits.
-fn unhex(digits: &str) -> Vec<u8> {
-    let pairs = digits.as_bytes().chunks(2);
-    let byte = |pair| {
-        u8::from_str_radix(std::str::from_utf8(pair).expect("ASCII digits"), 16)
-            .expect("two hexadecimal digits")
-    };
-    pairs.map(byte).collect()
+fn decode_hex(digits: &str) -> Vec<u8> {
+    hex::decode(digits).expect("hexadecimal digits")
 }
 
 /// Asserts that the packet is encoded as this literal frame (length, checksum, body) and decoded
 /// from it.
 #[track_caller]
-fn pin(packet: Packet, literal: &str) {
+fn assert_encoding(packet: Packet, literal: &str) {
     let bytes = encode_frame(&packet);
-    assert_eq!(hex(&bytes), literal, "{packet:?}");
+    assert_eq!(hex::encode(&bytes), literal, "{packet:?}");
     let mut reader = FrameReader::default();
     reader.push(PREAMBLE);
-    reader.push(&unhex(literal));
+    reader.push(&decode_hex(literal));
     assert_eq!(reader.next_packet(), Ok(Some(packet)));
     assert_eq!(
         (reader.next_packet(), reader.buffered_bytes()),
@@ -40,14 +30,14 @@
 
 #[test]
 fn preamble_and_limits_are_unchanged() {
-    assert_eq!(hex(PREAMBLE), "7070666c0d0a0001");
+    assert_eq!(hex::encode(PREAMBLE), "7070666c0d0a0001");
     assert_eq!(MAX_MESSAGE_BYTES, 1_048_576);
 }
 
 #[test]
 fn packets_keep_their_frames() {
     let (from, to) = ("n-1".to_owned(), "n-2".to_owned());
-    pin(
+    assert_encoding(
         Packet::Greeting {
             cluster: 0x0102_0304,
             from,
@@ -58,7 +48,7 @@
         "0000001903dedd500084868808036e2d31ffffffffffffffffff01ac02036e2d32",
     );
     let (from, to) = (String::new(), String::new());
-    pin(
+    assert_encoding(
         Packet::Greeting {
             cluster: 0,
             from,
@@ -68,28 +58,28 @@
         },
         "00000006b1c2a1a3000000000000",
     );
-    pin(
+    assert_encoding(
         Packet::GreetingAccepted {
             process_nonce: 301,
             last_received: 2,
         },
         "00000004946075e401ad0202",
     );
-    pin(
+    assert_encoding(
         Packet::Data {
             sequence: 3,
             message: vec![1, 2, 255],
         },
         "00000006b7e932ae0203030102ff",
     );
-    pin(
+    assert_encoding(
         Packet::Data {
             sequence: 0,
             message: Vec::new(),
         },
         "00000003fcc50d7c020000",
     );
-    pin(
+    assert_encoding(
         Packet::Acknowledgement { sequence: 302 },
         "00000003238d970003ae02",
     );
@@ -99,7 +89,7 @@
 #[track_caller]
 fn decode_error(digits: &str) -> ConnectionError {
     let mut reader = FrameReader::default();
-    reader.push(&unhex(digits));
+    reader.push(&decode_hex(digits));
     reader.next_packet().expect_err("a decoding error")
 }
 
@@ -129,7 +119,7 @@
         ConnectionError::Malformed
     );
     let framed = |body: &str| {
-        let sum = crc32fast::hash(&unhex(body));
+        let sum = crc32fast::hash(&decode_hex(body));
         format!("7070666c0d0a0001{:08x}{sum:08x}{body}", body.len() / 2)
     };
     assert_eq!(decode_error(&framed("04")), ConnectionError::Malformed);
@@ -139,7 +129,7 @@
 /// Returns the bytes written to this connection.
 fn written(out: &[Effect], key: usize) -> String {
     let written = |effect: &Effect| match effect {
-        Effect::Write { connection, bytes } if *connection == key => Some(hex(bytes)),
+        Effect::Write { connection, bytes } if *connection == key => Some(hex::encode(bytes)),
         _ => None,
     };
     out.iter().filter_map(written).collect()
@@ -172,7 +162,7 @@
     streams.handle_connected(0.0, 5, &mut out);
     assert_eq!(written(&out, 5), GREETING);
     out.clear();
-    streams.handle_bytes(0.0, 5, &unhex(GREETING_ACCEPTED), &mut out);
+    streams.handle_bytes(0.0, 5, &decode_hex(GREETING_ACCEPTED), &mut out);
     assert_eq!(written(&out, 5), DATA);
     assert_eq!(
         streams.queue_length("n-2"),
@@ -181,7 +171,7 @@
             bytes: 4
         }
     );
-    streams.handle_bytes(0.0, 5, &unhex(ACKNOWLEDGEMENT), &mut out);
+    streams.handle_bytes(0.0, 5, &decode_hex(ACKNOWLEDGEMENT), &mut out);
     assert_eq!(
         streams.queue_length("n-2"),
         QueueLength {
@@ -196,10 +186,10 @@
 fn accepting_node_writes_the_recorded_bytes() {
     let (mut streams, mut out) = (Streams::new(0x0102_0304, "n-2", 301), Vec::new());
     streams.handle_accepted(0.0, 6, &mut out);
-    streams.handle_bytes(0.0, 6, &unhex(GREETING), &mut out);
+    streams.handle_bytes(0.0, 6, &decode_hex(GREETING), &mut out);
     assert_eq!(written(&out, 6), GREETING_ACCEPTED);
     out.clear();
-    streams.handle_bytes(0.0, 6, &unhex(DATA), &mut out);
+    streams.handle_bytes(0.0, 6, &decode_hex(DATA), &mut out);
     assert!(out.contains(&Effect::Deliver {
         from: "n-1".into(),
         process_nonce: 300,
--- a/crates/version-tracking/tests/surface_bytes.rs
+++ b/crates/version-tracking/tests/surface_bytes.rs
@@ -10,33 +10,25 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
 
-/// Returns the bytes as lower-case hexadecimal digits.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Returns the bytes that the hexadecimal digits stand for.
-fn unhex(digits: &str) -> Vec<u8> {
-    let pairs = digits.as_bytes().chunks(2);
-    let byte =
-        |pair| u8::from_str_radix(std::str::from_utf8(pair).expect("digits"), 16).expect("a byte");
-    pairs.map(byte).collect()
+fn decode_hex(digits: &str) -> Vec<u8> {
+    hex::decode(digits).expect("hexadecimal digits")
 }
 
 /// Asserts that the value is encoded as this literal, and decoded from it.
 #[track_caller]
-fn pin<T: Debug + DeserializeOwned + PartialEq + Serialize>(value: T, literal: &str) {
+fn assert_encoding<T: Debug + DeserializeOwned + PartialEq + Serialize>(value: T, literal: &str) {
     let bytes = postcard::to_stdvec(&value).expect("an encoded value");
-    assert_eq!(hex(&bytes), literal, "{value:?}");
+    assert_eq!(hex::encode(&bytes), literal, "{value:?}");
     assert_eq!(
-        postcard::from_bytes::<T>(&unhex(literal)).expect("a value"),
+        postcard::from_bytes::<T>(&decode_hex(literal)).expect("a value"),
         value
     );
 }
 
 /// Asserts that the value has this JSON, and is read from it.
 #[track_caller]
-fn pin_json<T: Debug + DeserializeOwned + PartialEq + Serialize>(value: T, json: &str) {
+fn assert_json<T: Debug + DeserializeOwned + PartialEq + Serialize>(value: T, json: &str) {
     assert_eq!(serde_json::to_string(&value).expect("JSON"), json);
     assert_eq!(serde_json::from_str::<T>(json).expect("a value"), value);
 }
@@ -49,7 +41,7 @@
 
 #[test]
 fn messages_keep_their_bytes() {
-    pin(
+    assert_encoding(
         Message::Versions(vec![
             (VersionKind::WorkerList, VERSION),
             (
@@ -62,8 +54,8 @@
         ]),
         "000200ac0202ffffffffffffffffff0101ac0203ffffffffffffffffff01",
     );
-    pin(Message::Versions(Vec::new()), "0000");
-    pin(
+    assert_encoding(Message::Versions(Vec::new()), "0000");
+    assert_encoding(
         Message::Request {
             kind: VersionKind::WorkerList,
             generation: 4,
@@ -71,7 +63,7 @@
         },
         "01000405",
     );
-    pin(
+    assert_encoding(
         Message::Request {
             kind: VersionKind::Program,
             generation: 4,
@@ -104,11 +96,11 @@
         action_count: 7,
         hash,
     };
-    pin(
+    assert_encoding(
         entry(AuditEvent::Started),
         "ac0280d095ffbc310007000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f",
     );
-    pin(
+    assert_encoding(
         entry(AuditEvent::Adopted(
             VersionKind::WorkerList,
             VERSION,
@@ -116,7 +108,7 @@
         )),
         "ac0280d095ffbc310100ac0202ffffffffffffffffff010007000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f",
     );
-    pin(
+    assert_encoding(
         entry(AuditEvent::Adopted(
             VersionKind::Program,
             VERSION,
@@ -124,7 +116,7 @@
         )),
         "ac0280d095ffbc310101ac0202ffffffffffffffffff0101036e2d3207000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f",
     );
-    pin(
+    assert_encoding(
         entry(AuditEvent::Compacted(8)),
         "ac0280d095ffbc31020807000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f",
     );
@@ -142,7 +134,7 @@
         Source::Peer("n-2".into()),
     );
     assert_eq!(
-        hex(&log.head_hash()),
+        hex::encode(log.head_hash()),
         "de2d855c83ef907a262c4381cc6f189f689e1ea8fde426d9d54f4d15672160c8"
     );
     log.record_adoption(
@@ -155,14 +147,14 @@
         Source::Own,
     );
     assert_eq!(
-        hex(&log.head_hash()),
+        hex::encode(log.head_hash()),
         "9396ccc54918bccb9984eea1060bce571ee05e1509b93df2e2e3572a59c694f9"
     );
     // The two oldest entries have been merged.
     let entries: Vec<AuditEntry> = log.entries().cloned().collect();
     assert_eq!(entries[0].event, AuditEvent::Compacted(2));
     assert_eq!(
-        hex(&entries[0].hash),
+        hex::encode(entries[0].hash),
         "f73c319b206de8ba7ecefc174dc3122a132e77bc7aa357ae79708b280e450f5a"
     );
     assert_eq!(AuditLog::verify(&entries), Ok(()));
@@ -170,19 +162,19 @@
 
 #[test]
 fn entries_keep_their_json() {
-    pin_json(VersionKind::WorkerList, r#""list""#);
-    pin_json(VersionKind::Program, r#""program""#);
-    pin_json(
+    assert_json(VersionKind::WorkerList, r#""list""#);
+    assert_json(VersionKind::Program, r#""program""#);
+    assert_json(
         VERSION,
         r#"{"generation":300,"number":2,"digest":18446744073709551615}"#,
     );
-    pin_json(AuditEvent::Started, r#""began""#);
-    pin_json(
+    assert_json(AuditEvent::Started, r#""began""#);
+    assert_json(
         AuditEvent::Adopted(VersionKind::WorkerList, VERSION, Source::Own),
         r#"{"adopted":["list",{"generation":300,"number":2,"digest":18446744073709551615},"own"]}"#,
     );
-    pin_json(AuditEvent::Compacted(8), r#"{"folded":8}"#);
-    pin_json(Source::Peer("n-2".into()), r#"{"peer":"n-2"}"#);
+    assert_json(AuditEvent::Compacted(8), r#"{"folded":8}"#);
+    assert_json(Source::Peer("n-2".into()), r#"{"peer":"n-2"}"#);
     let entry = AuditEntry {
         view: 1,
         at_ms: 2,
@@ -191,7 +183,7 @@
         hash: [0; 32],
     };
     let zeros = ["0"; 32].join(",");
-    pin_json(
+    assert_json(
         entry,
         &format!(r#"{{"view":1,"at_ms":2,"what":"began","acts":3,"hash":[{zeros}]}}"#),
     );
@@ -199,14 +191,14 @@
 
 #[test]
 fn states_keep_their_bytes_and_json() {
-    pin(NodeState::Current, "00");
-    pin(NodeState::Behind, "01");
-    pin(NodeState::Excluded, "02");
-    pin(NodeState::CatchingUp, "03");
-    pin_json(NodeState::Current, r#""current""#);
-    pin_json(NodeState::Behind, r#""behind""#);
-    pin_json(NodeState::Excluded, r#""out""#);
-    pin_json(NodeState::CatchingUp, r#""catchingup""#);
+    assert_encoding(NodeState::Current, "00");
+    assert_encoding(NodeState::Behind, "01");
+    assert_encoding(NodeState::Excluded, "02");
+    assert_encoding(NodeState::CatchingUp, "03");
+    assert_json(NodeState::Current, r#""current""#);
+    assert_json(NodeState::Behind, r#""behind""#);
+    assert_json(NodeState::Excluded, r#""out""#);
+    assert_json(NodeState::CatchingUp, r#""catchingup""#);
 }
 
 /// The decisions are the value of the lease `audit`, which is stored in the replicated log.
@@ -228,9 +220,9 @@
             5,
         )]),
     };
-    pin(
+    assert_encoding(
         decisions,
         "0100ac020201036e2d310100ac0201036e2d320301010405",
     );
-    pin(VersionDecisions::default(), "00000000");
+    assert_encoding(VersionDecisions::default(), "00000000");
 }
--- a/crates/version-tracking/tests/surface_json.rs
+++ b/crates/version-tracking/tests/surface_json.rs
@@ -14,7 +14,7 @@
 
 /// Asserts that the value is serialized to this text, and deserialized from it.
 #[track_caller]
-fn pin<T: Serialize + DeserializeOwned + PartialEq + Debug>(value: &T, text: &str) {
+fn assert_json<T: Serialize + DeserializeOwned + PartialEq + Debug>(value: &T, text: &str) {
     assert_eq!(serde_json::to_string(value).expect("JSON"), text);
     assert_eq!(&serde_json::from_str::<T>(text).expect("a value"), value);
 }
@@ -27,8 +27,8 @@
 
 #[test]
 fn each_kind_of_version_has_this_json_and_this_name() {
-    pin(&VersionKind::WorkerList, r#""list""#);
-    pin(&VersionKind::Program, r#""program""#);
+    assert_json(&VersionKind::WorkerList, r#""list""#);
+    assert_json(&VersionKind::Program, r#""program""#);
     assert_eq!(
         [
             VersionKind::WorkerList.as_str(),
@@ -40,27 +40,27 @@
 
 #[test]
 fn a_version_has_this_json() {
-    pin(&VERSION, r#"{"generation":5,"number":41,"digest":9}"#);
+    assert_json(&VERSION, r#"{"generation":5,"number":41,"digest":9}"#);
 }
 
 #[test]
 fn each_source_of_a_version_has_this_json() {
-    pin(&Source::Own, r#""own""#);
-    pin(&Source::Peer("n1".into()), r#"{"peer":"n1"}"#);
+    assert_json(&Source::Own, r#""own""#);
+    assert_json(&Source::Peer("n1".into()), r#"{"peer":"n1"}"#);
 }
 
 #[test]
 fn each_event_of_the_audit_log_has_this_json() {
-    pin(&AuditEvent::Started, r#""began""#);
-    pin(
+    assert_json(&AuditEvent::Started, r#""began""#);
+    assert_json(
         &AuditEvent::Adopted(VersionKind::WorkerList, VERSION, Source::Own),
         r#"{"adopted":["list",{"generation":5,"number":41,"digest":9},"own"]}"#,
     );
-    pin(
+    assert_json(
         &AuditEvent::Adopted(VersionKind::Program, VERSION, Source::Peer("n1".into())),
         r#"{"adopted":["program",{"generation":5,"number":41,"digest":9},{"peer":"n1"}]}"#,
     );
-    pin(&AuditEvent::Compacted(3), r#"{"folded":3}"#);
+    assert_json(&AuditEvent::Compacted(3), r#"{"folded":3}"#);
 }
 
 #[test]
@@ -74,7 +74,7 @@
         action_count: 4,
         hash,
     };
-    pin(
+    assert_json(
         &entry,
         r#"{"view":2,"at_ms":1000000,"what":"began","acts":4,"hash":[1,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,255]}"#,
     );
@@ -82,10 +82,10 @@
 
 #[test]
 fn each_state_of_a_node_has_this_json() {
-    pin(&NodeState::Current, r#""current""#);
-    pin(&NodeState::Behind, r#""behind""#);
-    pin(&NodeState::Excluded, r#""out""#);
-    pin(&NodeState::CatchingUp, r#""catchingup""#);
+    assert_json(&NodeState::Current, r#""current""#);
+    assert_json(&NodeState::Behind, r#""behind""#);
+    assert_json(&NodeState::Excluded, r#""out""#);
+    assert_json(&NodeState::CatchingUp, r#""catchingup""#);
 }
 
 #[test]
--- a/src/net/cluster/versions.rs
+++ b/src/net/cluster/versions.rs
@@ -175,7 +175,7 @@
         to_json_line(&AuditLogStatus {
             node: &self.node_name,
             view: log.view(),
-            head_hash: hex(&log.head_hash()),
+            head_hash: hex::encode(log.head_hash()),
             action_count: log.open_action_count() + action_count,
             entries: log.entries().collect(),
         })
@@ -255,10 +255,6 @@
     serde_json::to_string(value).unwrap_or_default() + "\n"
 }
 
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Converts the tracker's outputs to actions: encodes the messages, and logs the events.
 fn actions(outputs: Vec<Output>) -> Vec<VersionAction> {
     let mut actions = Vec::new();
--- a/src/net/requests/migration/tests.rs
+++ b/src/net/requests/migration/tests.rs
@@ -10,26 +10,18 @@
 use serde::{Serialize, de::DeserializeOwned};
 use std::fmt::Debug;
 
-/// Returns the bytes as lower-case hexadecimal digits.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Returns the bytes that the hexadecimal digits stand for.
-fn unhex(digits: &str) -> Vec<u8> {
-    let pairs = digits.as_bytes().chunks(2);
-    let byte =
-        |pair| u8::from_str_radix(std::str::from_utf8(pair).expect("digits"), 16).expect("a byte");
-    pairs.map(byte).collect()
+fn decode_hex(digits: &str) -> Vec<u8> {
+    hex::decode(digits).expect("hexadecimal digits")
 }
 
 /// Asserts that the value is encoded as this literal and that the literal is decoded to the value.
 #[track_caller]
 fn assert_encoding<T: Debug + DeserializeOwned + PartialEq + Serialize>(value: T, literal: &str) {
     let bytes = postcard::to_stdvec(&value).expect("an encoded value");
-    assert_eq!(hex(&bytes), literal, "{value:?}");
+    assert_eq!(hex::encode(&bytes), literal, "{value:?}");
     assert_eq!(
-        postcard::from_bytes::<T>(&unhex(literal)).expect("a value"),
+        postcard::from_bytes::<T>(&decode_hex(literal)).expect("a value"),
         value
     );
 }
--- a/tests/decisions/decider.rs
+++ b/tests/decisions/decider.rs
@@ -1,7 +1,7 @@
 //! The source of decisions in a simulation: a dispatcher in this process, or one in the program
 //! `postproxy-drill`.
 
-use super::text::{action_line, event_line, hex};
+use super::text::{action_line, event_line};
 use super::wire;
 use postproxy::{Action, Dispatcher, Event, MigratedRequest, RequestId, Settings, SiblingEvent};
 use std::io::{Read, Write};
@@ -127,8 +127,8 @@
 impl Decider for Drill {
     fn handle(&mut self, now: f64, event: &Event, log: &mut Vec<String>) -> Vec<Action> {
         let (batch, reply) = self.exchange(now, &wire::event_record(event));
-        log.push(format!("batch {}", hex(&batch)));
-        log.push(format!("reply {}", hex(&reply)));
+        log.push(format!("batch {}", hex::encode(&batch)));
+        log.push(format!("reply {}", hex::encode(&reply)));
         wire::actions(&reply[8..])
     }
 }
--- a/tests/decisions/text.rs
+++ b/tests/decisions/text.rs
@@ -131,12 +131,7 @@
 /// Returns the encoded record of a request that migrates to another process.
 fn record_text(record: &MigratedRequest) -> String {
     let bytes = postcard::to_allocvec(record).expect("an encoded request");
-    hex(&bytes)
-}
-
-/// Returns bytes as hexadecimal digits.
-pub fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+    hex::encode(&bytes)
 }
 
 /// Returns the line for an event.
--- a/tests/surface_bytes.rs
+++ b/tests/surface_bytes.rs
@@ -16,17 +16,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// Returns the bytes as lower-case hexadecimal digits.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Returns the bytes that the hexadecimal digits stand for.
-fn unhex(digits: &str) -> Vec<u8> {
-    let pairs = digits.as_bytes().chunks(2);
-    let byte =
-        |pair| u8::from_str_radix(std::str::from_utf8(pair).expect("digits"), 16).expect("a byte");
-    pairs.map(byte).collect()
+fn decode_hex(digits: &str) -> Vec<u8> {
+    hex::decode(digits).expect("hexadecimal digits")
 }
 
 /// The folder of a test, which is removed on drop.
@@ -112,7 +104,10 @@
         (number, format!("{digest:016x}")),
         (7, "e0a52921b9311eaa".to_owned())
     );
-    assert_eq!(hex(&workers.encode_for_peer().expect("a list")), PEER_LIST);
+    assert_eq!(
+        hex::encode(workers.encode_for_peer().expect("a list")),
+        PEER_LIST
+    );
 }
 
 #[test]
@@ -120,7 +115,7 @@
     let mut reactor = Reactor::new(0.0).expect("a poller");
     let mut workers = worker_list(DISCOVERED, 6);
     let (number, digest) = workers
-        .apply_peer_list(&mut reactor, &unhex(PEER_LIST))
+        .apply_peer_list(&mut reactor, &decode_hex(PEER_LIST))
         .expect("a newer list");
     assert_eq!(
         (number, format!("{digest:016x}")),
@@ -143,7 +138,10 @@
     let (mut engine, _) = open(section, "a test").expect("a store");
     let mut content = BTreeMap::new();
     let show = |key: &[u8], value: &[u8]| {
-        content.insert(String::from_utf8_lossy(key).into_owned(), hex(value));
+        content.insert(
+            String::from_utf8_lossy(key).into_owned(),
+            hex::encode(value),
+        );
     };
     engine.scan(show).expect("a healthy disk");
     content
@@ -187,7 +185,7 @@
 fn node_reads_its_keys() {
     let folder = Folder::new("reads");
     let (mut engine, _) = open(&folder.store(), "a test").expect("a store");
-    let record = unhex(RECORD);
+    let record = decode_hex(RECORD);
     let put = |key, value| Stored::Put {
         key,
         value,
