Review case 6: judge lost requests and results, not the suspended route worker

Need: work that is taken and never answered counts as such; what a suspended route worker gets is recorded beside it.

--- a/review/common2.py
+++ b/review/common2.py
@@ -134,6 +134,8 @@
         self.result = result
         self.jobs = []
         self.tasks = set()
+        # Connections to the node that are kept for further calls.
+        self.kept = []
 
     async def handle(self, first, headers, body):
         method, path, _ = first.split(" ")
@@ -175,8 +177,9 @@
                                    "load": {"queue": 0, "eps": 0.0, "x0": 4}})
 
     async def call_back(self, job, body):
+        data = message("POST /v1/job-events HTTP/1.1", [("Host", self.node)], json.dumps(body).encode())
         for _ in range(10):
-            status, _, _ = await request(self.node, "POST", "/v1/job-events", [], json.dumps(body).encode(), 5.0)
+            status = await self.call_once(data)
             self.record.add(f"worker {self.name}: callback {body['state']} of {body['id']}: answer {status}")
             if status in (200, 204):
                 if body["state"] == "done":
@@ -185,6 +188,21 @@
             await asyncio.sleep(0.3)
 
 
+    async def call_once(self, data):
+        """Sends one call on a kept connection, or on a new one; returns the status, -1 if none came."""
+        try:
+            connection = self.kept.pop() if self.kept else await Connection.open(self.node)
+            connection.send(data)
+        except OSError:
+            return -1
+        status, fields, _ = await connection.answer(5.0)
+        if status > 0 and fields.get("connection") != "close":
+            self.kept.append(connection)
+        else:
+            connection.close()
+        return status
+
+
 class Discovery(Server):
     """Discovery with a list that does not change."""
 
@@ -212,9 +230,12 @@
 class Connection:
     """A client's connection, which carries one request at a time."""
 
+    opened = []
+
     def __init__(self, reader, writer):
         self.reader = reader
         self.writer = writer
+        self.opened.append(self)
 
     @classmethod
     async def open(cls, address):
@@ -452,6 +473,9 @@
         finally:
             for node in nodes:
                 await node.end()
+            for connection in Connection.opened:
+                connection.writer.transport.abort()
+            await asyncio.sleep(0.05)
 
     try:
         if not os.access(os.path.join(ROOT, PROGRAM), os.X_OK):
